Move the etcd store client and the instance list client to storage/

Cause: the users' platform speaks a protocol of its own, and its adapter is to stand in rhubarbspar/platform/. The clients of the stand-ins' dialect stood under that name.

Ruled out: a second dialect beside etcd in the same folder, since the adapter is to stay small and hold nothing else.

Change: rhubarbspar/platform and tests/platform are renamed to storage; no behaviour changes.

--- a/rhubarbspar/operators/etcd.py
+++ b/rhubarbspar/operators/etcd.py
@@ -8,9 +8,9 @@
 from rhubarbspar.operators import errors
 from rhubarbspar.operators import http
 from rhubarbspar.operators import store
-from rhubarbspar.platform import const as platform_const
-from rhubarbspar.platform import errors as platform_errors
-from rhubarbspar.platform import protocol
+from rhubarbspar.storage import const as platform_const
+from rhubarbspar.storage import errors as platform_errors
+from rhubarbspar.storage import protocol
 
 _STATUS_OK: typing.Final = 200
 _STATUS_SERVER_ERROR: typing.Final = 500
--- a/rhubarbspar/operators/fleet.py
+++ b/rhubarbspar/operators/fleet.py
@@ -6,7 +6,7 @@
 
 from rhubarbspar.operators import errors
 from rhubarbspar.operators import http
-from rhubarbspar.platform import const as platform_const
+from rhubarbspar.storage import const as platform_const
 
 _PATH_CONFIGURATION: typing.Final = '/v1/admin/configuration'
 _STATUS_OK: typing.Final = 200
--- a/rhubarbspar/server/connections.py
+++ b/rhubarbspar/server/connections.py
@@ -18,7 +18,7 @@
 
 from rhubarbspar import const as package_const
 from rhubarbspar.core import models
-from rhubarbspar.platform import bodies
+from rhubarbspar.storage import bodies
 from rhubarbspar.server import const
 from rhubarbspar.server import sending
 
--- a/rhubarbspar/server/daemon.py
+++ b/rhubarbspar/server/daemon.py
@@ -19,8 +19,8 @@
 from rhubarbspar.core import events
 from rhubarbspar.helpers import logs
 from rhubarbspar.peers import transport as peer_transport
-from rhubarbspar.platform import instance_list
-from rhubarbspar.platform import store
+from rhubarbspar.storage import instance_list
+from rhubarbspar.storage import store
 from rhubarbspar.server import admin_http
 from rhubarbspar.server import backend
 from rhubarbspar.server import caller_channel
--- a/rhubarbspar/server/driver.py
+++ b/rhubarbspar/server/driver.py
@@ -11,7 +11,7 @@
 from rhubarbspar.core import reducer
 from rhubarbspar.core import state as core_state
 from rhubarbspar.helpers import logs
-from rhubarbspar.platform import store as store_client
+from rhubarbspar.storage import store as store_client
 from rhubarbspar.server import backend
 from rhubarbspar.server import caller_http
 from rhubarbspar.server import metrics
--- a/rhubarbspar/server/probe.py
+++ b/rhubarbspar/server/probe.py
@@ -11,8 +11,8 @@
 from twisted.web import http_headers
 
 from rhubarbspar.core import events
-from rhubarbspar.platform import agents
-from rhubarbspar.platform import bodies
+from rhubarbspar.storage import agents
+from rhubarbspar.storage import bodies
 from rhubarbspar.server import connections
 from rhubarbspar.server import const
 
--- a/rhubarbspar/standins/caller_http.py
+++ b/rhubarbspar/standins/caller_http.py
@@ -9,8 +9,8 @@
 from twisted.web import http_headers
 from twisted.web import iweb
 
-from rhubarbspar.platform import agents
-from rhubarbspar.platform import bodies
+from rhubarbspar.storage import agents
+from rhubarbspar.storage import bodies
 from rhubarbspar.standins import const
 from rhubarbspar.standins import errors
 
--- a/rhubarbspar/standins/instance_list.py
+++ b/rhubarbspar/standins/instance_list.py
@@ -2,8 +2,8 @@
 
 import typing
 
-from rhubarbspar.platform import errors as platform_errors
-from rhubarbspar.platform import instance_list
+from rhubarbspar.storage import errors as platform_errors
+from rhubarbspar.storage import instance_list
 from rhubarbspar.standins import const
 from rhubarbspar.standins import errors
 from rhubarbspar.standins import exchanges
--- a/rhubarbspar/standins/store.py
+++ b/rhubarbspar/standins/store.py
@@ -3,8 +3,8 @@
 import collections
 import typing
 
-from rhubarbspar.platform import errors as platform_errors
-from rhubarbspar.platform import protocol
+from rhubarbspar.storage import errors as platform_errors
+from rhubarbspar.storage import protocol
 from rhubarbspar.standins import const
 from rhubarbspar.standins import errors
 from rhubarbspar.standins import exchanges
--- a/rhubarbspar/standins/store_watches.py
+++ b/rhubarbspar/standins/store_watches.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from rhubarbspar.platform import protocol
+from rhubarbspar.storage import protocol
 from rhubarbspar.standins import const
 from rhubarbspar.standins import exchanges
 from rhubarbspar.standins import store_model
--- a/rhubarbspar/platform/agents.py
+++ b/rhubarbspar/storage/agents.py
@@ -10,7 +10,7 @@
 from twisted.web import iweb
 from zope import interface  # type: ignore[import-untyped]
 
-from rhubarbspar.platform import const
+from rhubarbspar.storage import const
 
 # What an exchange without a complete answer fails with.
 TRANSPORT_ERRORS: typing.Final = (
--- a/rhubarbspar/platform/bodies.py
+++ b/rhubarbspar/storage/bodies.py
@@ -11,7 +11,7 @@
 from twisted.web import iweb
 from zope import interface  # type: ignore[import-untyped]
 
-from rhubarbspar.platform import errors
+from rhubarbspar.storage import errors
 
 # An answer without a length ends with its connection.
 _COMPLETE = (client.ResponseDone, http.PotentialDataLoss)
--- a/rhubarbspar/platform/http.py
+++ b/rhubarbspar/storage/http.py
@@ -10,10 +10,10 @@
 from twisted.web import http_headers
 from twisted.web import iweb
 
-from rhubarbspar.platform import agents
-from rhubarbspar.platform import bodies
-from rhubarbspar.platform import const
-from rhubarbspar.platform import errors
+from rhubarbspar.storage import agents
+from rhubarbspar.storage import bodies
+from rhubarbspar.storage import const
+from rhubarbspar.storage import errors
 
 JsonObject: typing.TypeAlias = dict[str, typing.Any]
 
--- a/rhubarbspar/platform/instance_list.py
+++ b/rhubarbspar/storage/instance_list.py
@@ -10,9 +10,9 @@
 from twisted.python import failure
 
 from rhubarbspar.core import events
-from rhubarbspar.platform import const
-from rhubarbspar.platform import errors
-from rhubarbspar.platform import http
+from rhubarbspar.storage import const
+from rhubarbspar.storage import errors
+from rhubarbspar.storage import http
 
 _STATES: typing.Final = types.MappingProxyType({'live': False, 'leaving': True})
 
--- a/rhubarbspar/platform/protocol.py
+++ b/rhubarbspar/storage/protocol.py
@@ -10,9 +10,9 @@
 
 from rhubarbspar.core import effects
 from rhubarbspar.core import events
-from rhubarbspar.platform import const
-from rhubarbspar.platform import errors
-from rhubarbspar.platform import http
+from rhubarbspar.storage import const
+from rhubarbspar.storage import errors
+from rhubarbspar.storage import http
 
 _LAST_BYTE = 0xFF
 
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/storage/store.py
@@ -12,11 +12,11 @@
 
 from rhubarbspar.core import effects
 from rhubarbspar.core import events
-from rhubarbspar.platform import const
-from rhubarbspar.platform import errors
-from rhubarbspar.platform import http
-from rhubarbspar.platform import protocol
-from rhubarbspar.platform import watch
+from rhubarbspar.storage import const
+from rhubarbspar.storage import errors
+from rhubarbspar.storage import http
+from rhubarbspar.storage import protocol
+from rhubarbspar.storage import watch
 
 StoreEffect: typing.TypeAlias = (
     effects.LeaseGrant
--- a/rhubarbspar/platform/watch.py
+++ b/rhubarbspar/storage/watch.py
@@ -7,10 +7,10 @@
 
 from rhubarbspar.core import effects
 from rhubarbspar.core import events
-from rhubarbspar.platform import bodies
-from rhubarbspar.platform import const
-from rhubarbspar.platform import http
-from rhubarbspar.platform import protocol
+from rhubarbspar.storage import bodies
+from rhubarbspar.storage import const
+from rhubarbspar.storage import http
+from rhubarbspar.storage import protocol
 
 
 class Watch:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -11,7 +11,7 @@
 from twisted.internet import task
 
 from rhubarbspar.core import events
-from rhubarbspar.platform import store as store_client
+from rhubarbspar.storage import store as store_client
 from rhubarbspar.standins import store as store_standin
 
 RUN_TIMEOUT_S = 30
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rhubarbspar.core import effects
-from rhubarbspar.platform import errors
+from rhubarbspar.storage import errors
 from rhubarbspar.standins import faults
 
 
--- a/tests/platform/test_instance_list.py
+++ b/tests/storage/test_instance_list.py
@@ -3,8 +3,8 @@
 import pytest
 
 from rhubarbspar.core import events
-from rhubarbspar.platform import errors
-from rhubarbspar.platform import instance_list
+from rhubarbspar.storage import errors
+from rhubarbspar.storage import instance_list
 from rhubarbspar.standins import faults
 from rhubarbspar.standins import instance_list as standin
 
--- a/tests/platform/test_store.py
+++ b/tests/storage/test_store.py
@@ -7,7 +7,7 @@
 
 from rhubarbspar.core import effects
 from rhubarbspar.core import events
-from rhubarbspar.platform import errors
+from rhubarbspar.storage import errors
 from rhubarbspar.standins import exchanges
 from rhubarbspar.standins import faults
 
