--- /dev/null
+++ b/rhubarbspar/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway: an instance that passes each request directly to a backend server."""
--- /dev/null
+++ b/rhubarbspar/gateway/__main__.py
@@ -0,0 +1,23 @@
+"""Run a gateway with ``python -m rhubarbspar.gateway SETTINGS``, without the operators' commands."""
+
+import argparse
+import sys
+
+from rhubarbspar import exceptions
+from rhubarbspar.gateway import daemon
+
+_EXIT_BAD_INPUT = 2
+
+
+def main() -> int:
+    """Run a gateway and return the exit code."""
+    parser = argparse.ArgumentParser(prog='rhubarbspar.gateway', description='Run a gateway.')
+    parser.add_argument('settings', metavar='FILE', help='gateway settings')
+    try:
+        return daemon.run(parser.parse_args().settings)
+    except exceptions.RhubarbsparError as error:
+        sys.stderr.write(f'rhubarbspar: {error}\n')
+        return _EXIT_BAD_INPUT
+
+
+sys.exit(main())
--- /dev/null
+++ b/rhubarbspar/gateway/backends.py
@@ -0,0 +1,122 @@
+"""Attempts at backend servers over kept connections."""
+
+import typing
+from collections import abc
+
+from rhubarbspar.core import events as core_events
+from rhubarbspar.gateway import effects
+from rhubarbspar.gateway import events
+from rhubarbspar.http1 import client
+from rhubarbspar.http1 import errors
+from rhubarbspar.http1 import messages
+from rhubarbspar.platform import requests
+
+# Servers close idle connections after about 10 s; an earlier end avoids requests on a closing one.
+IDLE_MAX_MS: typing.Final = 7000
+
+
+class Backends:
+    """The pools of all backend servers, and the attempts under way.
+
+    Parameters
+    ----------
+    reactor
+        The reactor that the process runs.
+    deliver
+        Receives ``AttemptEnded`` for each attempt that was not cancelled.
+    clock_ms
+        Clock of the gateway.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        deliver: abc.Callable[[core_events.Event], None],
+        clock_ms: abc.Callable[[], float],
+    ) -> None:
+        """Open no connection yet."""
+        self._reactor = reactor
+        self._deliver = deliver
+        self._clock_ms = clock_ms
+        self._pools: dict[str, client.Pool] = {}
+        self._calls: dict[int, client.Call] = {}
+        self._responses: dict[int, messages.Response] = {}
+
+    def start(self, effect: effects.StartAttempt, request: messages.Request) -> None:
+        """Send a request to a backend server."""
+        pool = self._pool(effect)
+        started_ms = self._clock_ms()
+
+        def finish(outcome: client.Outcome) -> None:  # noqa: WPS430 (holds the call's context)
+            self._finish(effect.attempt, outcome, started_ms)
+
+        call = client.Call(
+            requests.encode_attempt(request, effect), finish, requests.expected_echo(request)
+        )
+        self._calls[effect.attempt] = call
+        pool.start(call, effect.connect_timeout_ms)
+
+    def cancel(self, attempt: int) -> None:
+        """Close the connection of an attempt."""
+        call = self._calls.pop(attempt, None)
+        if call is not None:
+            call.cancel()
+
+    def take_response(self, attempt: int) -> messages.Response | None:
+        """Return the response of an attempt whose end is being handled."""
+        return self._responses.get(attempt)
+
+    def forget(self, server_id: str) -> None:
+        """Close the kept connections of a backend server."""
+        pool = self._pools.pop(server_id, None)
+        if pool is not None:
+            pool.close()
+
+    def sweep(self) -> None:
+        """Close the connections that were idle for too long."""
+        for pool in self._pools.values():
+            pool.sweep()
+
+    def _pool(self, effect: effects.StartAttempt) -> client.Pool:
+        server = effect.server
+        endpoint = client.Endpoint(server.host, server.port)
+        pool = self._pools.get(server.server_id)
+        if pool is None or pool.endpoint != endpoint:
+            self.forget(server.server_id)
+            pool = client.Pool(self._reactor, endpoint, self._clock_ms, IDLE_MAX_MS)
+            self._pools[server.server_id] = pool
+        return pool
+
+    def _finish(self, attempt: int, outcome: client.Outcome, started_ms: float) -> None:
+        call = self._calls.pop(attempt, None)
+        if call is None:
+            return
+        connect_ms = None
+        if call.connected_ms is not None:
+            connect_ms = call.connected_ms - started_ms
+        if isinstance(outcome, messages.Response):
+            self._responses[attempt] = outcome
+        self._deliver(_ended(attempt, outcome, call, connect_ms))
+        self._responses.pop(attempt, None)
+
+
+def _ended(
+    attempt: int, outcome: client.Outcome, call: client.Call, connect_ms: float | None
+) -> events.AttemptEnded:
+    match outcome:
+        case messages.Response():
+            return events.AttemptEnded(
+                attempt,
+                requests.attempt_result(outcome),
+                outcome.status,
+                requests.load_report(outcome),
+                reused_connection=call.reused,
+                connect_ms=connect_ms,
+            )
+        case errors.ConnectError():
+            result = events.AttemptResult.UNREACHABLE
+        case errors.MalformedError():
+            result = events.AttemptResult.MALFORMED
+        case _:
+            result = events.AttemptResult.BROKEN
+    return events.AttemptEnded(attempt, result, reused_connection=call.reused)
--- /dev/null
+++ b/rhubarbspar/gateway/daemon.py
@@ -0,0 +1,185 @@
+"""The gateway daemon."""
+
+import asyncio
+import importlib
+import pathlib
+import signal
+import sys
+import time
+import typing
+from collections import abc
+
+import loguru
+from twisted.internet import asyncioreactor
+from twisted.internet import defer
+from twisted.internet import task
+
+from rhubarbspar import exceptions
+from rhubarbspar.core import effects as core_effects
+from rhubarbspar.core import events as core_events
+from rhubarbspar.gateway import backends
+from rhubarbspar.gateway import callers
+from rhubarbspar.gateway import const
+from rhubarbspar.gateway import driver as effect_driver
+from rhubarbspar.gateway import events
+from rhubarbspar.gateway import initial_state
+from rhubarbspar.gateway import listeners
+from rhubarbspar.gateway import log_stream
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import settings as gateway_settings
+from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway import store_link
+from rhubarbspar.helpers import logs
+from rhubarbspar.peers import registry
+from rhubarbspar.peers import transport as peer_transport
+from rhubarbspar.platform import store
+from rhubarbspar.server import metrics
+
+_SWEEP_INTERVAL_S: typing.Final = 0.25
+_SETTINGS_INTERVAL_S: typing.Final = 1.0
+
+
+def clock_ms() -> float:
+    """Return the time since the machine's start in milliseconds; it counts while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * const.MS_PER_S
+
+
+class Daemon:
+    """One gateway: its state, listeners and clients."""
+
+    def __init__(
+        self, settings_path: str, settings: gateway_settings.Settings, reactor: typing.Any
+    ) -> None:
+        """Create the parts without opening any socket."""
+        self._settings_path = pathlib.Path(settings_path)
+        self._settings = settings
+        self._settings_text = self._settings_path.read_bytes()
+        self._reactor = reactor
+        self._counters = metrics.Metrics(settings.instance_id)
+        self._member = initial_state.make_member(settings)
+        self._state = initial_state.create(settings, self._member)
+        process = effect_driver.Process(
+            lambda: self._listeners.callers.close_idle(),
+            lambda: self._listeners.stop_accepting(),
+            self._exit,
+        )
+        self._driver = effect_driver.Driver(self._state, clock_ms, self._counters, process)
+        deliver = self._driver.deliver
+        self._callers = callers.Callers(deliver)
+        self._backends = backends.Backends(reactor, deliver, clock_ms)
+        self._store = store_link.StoreLink(
+            reactor,
+            store.Store(reactor, settings.store_address, clock_ms),
+            self._member,
+            deliver,
+            self._driver.report,
+        )
+        self._driver.connect(self._callers, self._backends, self._store)
+        self._listeners = listeners.Listeners(
+            reactor, self._state, self._callers.handle, self._counters, clock_ms
+        )
+        self._ticked_ms = clock_ms()
+
+    def start(self) -> None:
+        """Open the listeners and start the tasks; call it with the reactor running."""
+        self._listeners.open(self._settings)
+        self._repeat(const.TICK_INTERVAL_MS / const.MS_PER_S, self._tick)
+        self._repeat(_SWEEP_INTERVAL_S, self._sweep)
+        self._repeat(_SETTINGS_INTERVAL_S, self._check_settings)
+        for coroutine in (self._store.follow(), self._store.register(), self._meet_peers()):
+            defer.Deferred.fromCoroutine(coroutine).addErrback(self._fail)
+        incarnation = self._member.incarnation
+        self._driver.report(core_effects.Log('started', (('incarnation', incarnation),)))
+
+    def request_stop(self) -> None:
+        """Begin a planned stop."""
+        self._listeners.callers.closing = True
+        self._driver.deliver(core_events.StopRequested())
+
+    def reload(self) -> None:
+        """Read the settings again; the last valid ones stay in force."""
+        self._settings_text = self._settings_path.read_bytes()
+        try:
+            settings = gateway_settings.load(self._settings_path)
+        except exceptions.RhubarbsparError as error:
+            self._driver.report(core_effects.Log('settings_invalid', (('error', str(error)),)))
+            return
+        self._settings = settings
+        self._state.bounds = gateway_state.Bounds(settings.bounds.stop_grace)
+        self._state.budget.limits = initial_state.budget_limits(settings)
+        self._state.network.regions = settings.regions
+        self._driver.report(core_effects.Log('settings_loaded'))
+
+    async def _meet_peers(self) -> None:
+        key = await self._store.fleet_key()
+        host, port = _split(self._settings.peer_address)
+        transport = peer_transport.PeerTransport(
+            peer_transport.TransportSettings(
+                self._settings.instance_id, self._member.incarnation, host, port, key
+            ),
+            self._driver.deliver,
+            self._driver.report,
+            registry.collect((messages,)),
+        )
+        await defer.Deferred.fromFuture(asyncio.ensure_future(transport.start()))
+        self._driver.transport = transport
+
+    def _tick(self) -> None:
+        now_ms = clock_ms()
+        paused_ms = max(0.0, now_ms - self._ticked_ms - const.TICK_INTERVAL_MS)
+        self._ticked_ms = now_ms
+        self._store.continue_from(self._state.mirror.revision)
+        self._driver.deliver(events.ClockTicked(paused_ms))
+
+    def _sweep(self) -> None:
+        self._listeners.sweep()
+        self._backends.sweep()
+
+    def _check_settings(self) -> None:
+        self._driver.report_left_out()
+        if self._settings_path.read_bytes() != self._settings_text:
+            self.reload()
+
+    def _repeat(self, interval_s: float, function: abc.Callable[[], None]) -> None:
+        loop = task.LoopingCall(function)
+        loop.clock = self._reactor
+        loop.start(interval_s, now=False).addErrback(self._fail)
+
+    def _exit(self) -> None:
+        # The last responses are written before the process ends.
+        self._reactor.callLater(_EXIT_DELAY_S, self._reactor.stop)
+
+    def _fail(self, reason: typing.Any) -> None:
+        loguru.logger.error('event=task_failed error={}', reason.getTraceback())
+
+
+_EXIT_DELAY_S: typing.Final = 0.15
+
+
+def run(settings_path: str) -> int:
+    """Run a gateway until its planned stop has ended; return the exit code."""
+    settings = gateway_settings.load(settings_path)
+    stream = log_stream.LogStream(sys.stdout.fileno())
+    logs.configure(settings.log_level, stream.write)
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
+    reactor = importlib.import_module('twisted.internet.reactor')
+    daemon = Daemon(settings_path, settings, reactor)
+    reactor.callWhenRunning(daemon.start)
+    reactor.callWhenRunning(_handle_signals, daemon)
+    reactor.run(installSignalHandlers=False)
+    stream.flush()
+    return 0
+
+
+def _handle_signals(daemon: Daemon) -> None:
+    loop = asyncio.get_event_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
--- /dev/null
+++ b/rhubarbspar/gateway/fleet.py
@@ -0,0 +1,94 @@
+"""The other instances: who they are, and who is heard.
+
+Pattern: full mesh heartbeats; an instance that is silent is not live, whatever its registration says.
+"""
+
+import dataclasses
+import math
+
+from rhubarbspar.core import effects as core_effects
+from rhubarbspar.gateway import const
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import models
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """What is known of a peer."""
+
+    member: models.Member
+    connected: bool = False
+    heard_ms: float = -math.inf
+    dialled_ms: float = -math.inf
+    heartbeat: messages.Heartbeat | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Fleet:
+    """This instance and its peers."""
+
+    own: models.Member
+    peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    sent_ms: float = -math.inf
+
+    def register(self, member: models.Member) -> None:
+        """Take the registration of an instance."""
+        if member.instance_id == self.own.instance_id:
+            return
+        known = self.peers.get(member.instance_id)
+        if known is None or known.member.incarnation != member.incarnation:
+            self.peers[member.instance_id] = Peer(member)
+        else:
+            known.member = member
+
+    def withdraw(self, instance_id: str, now_ms: float) -> None:
+        """Forget an instance, unless it is still heard."""
+        peer = self.peers.get(instance_id)
+        if peer is not None and not self.is_live(peer, now_ms):
+            self.peers.pop(instance_id)
+
+    @property
+    def interval_ms(self) -> float:
+        """Return the time between heartbeats."""
+        scaled_ms = const.HEARTBEAT_INTERVAL_PER_PEER_MS * len(self.peers)
+        return max(const.HEARTBEAT_INTERVAL_MS, scaled_ms)
+
+    def is_live(self, peer: Peer, now_ms: float) -> bool:
+        """Return whether a peer was heard recently."""
+        silent_max_ms = const.HEARTBEATS_MISSED_MAX * self.interval_ms
+        return now_ms - peer.heard_ms <= silent_max_ms
+
+    def live(self, now_ms: float) -> list[Peer]:
+        """Return the peers that were heard recently."""
+        return [peer for peer in self.peers.values() if self.is_live(peer, now_ms)]
+
+    def size(self, now_ms: float) -> int:
+        """Return the number of live instances, this one included."""
+        return 1 + len(self.live(now_ms))
+
+    def dials(self, now_ms: float) -> list[core_effects.Effect]:
+        """Return the connections to open or to close; the lower id dials."""
+        due: list[core_effects.Effect] = []
+        for peer_id, peer in self.peers.items():
+            silent_ms = now_ms - max(peer.heard_ms, peer.dialled_ms)
+            if peer.connected and silent_ms > 2 * const.HEARTBEATS_MISSED_MAX * self.interval_ms:
+                peer.connected = False
+                peer.dialled_ms = now_ms
+                due.append(core_effects.ClosePeer(peer_id))
+            if peer.connected or peer_id <= self.own.instance_id:
+                continue
+            if now_ms - peer.dialled_ms >= const.REDIAL_INTERVAL_MS:
+                peer.dialled_ms = now_ms
+                due.append(core_effects.DialPeer(peer_id, peer.member.peer_address))
+        return due
+
+    def coordinates(self, now_ms: float) -> bool:
+        """Return whether this instance is the first of those that hear the store."""
+        rivals = [
+            peer.member.instance_id
+            for peer in self.live(now_ms)
+            if peer.heartbeat is not None
+            and peer.heartbeat.store_reachable
+            and not peer.heartbeat.leaving
+        ]
+        return all(self.own.instance_id < rival for rival in rivals)
--- /dev/null
+++ b/rhubarbspar/gateway/initial_state.py
@@ -0,0 +1,43 @@
+"""State of a gateway at its start."""
+
+import secrets
+import typing
+
+from rhubarbspar.gateway import budget
+from rhubarbspar.gateway import fleet
+from rhubarbspar.gateway import models
+from rhubarbspar.gateway import selection
+from rhubarbspar.gateway import settings as gateway_settings
+from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.platform import records
+
+_INCARNATION_BYTES: typing.Final = 6
+
+
+def create(settings: gateway_settings.Settings, member: models.Member) -> gateway_state.State:
+    """Return the state of a gateway that has heard nothing yet."""
+    return gateway_state.State(
+        decode=records.decode,
+        bounds=gateway_state.Bounds(settings.bounds.stop_grace),
+        fleet=fleet.Fleet(member),
+        budget=budget.RetryBudget(budget_limits(settings)),
+        network=selection.NetworkTimes(settings.failure_domain, settings.region, settings.regions),
+    )
+
+
+def budget_limits(settings: gateway_settings.Settings) -> budget.BudgetLimits:
+    """Return the permitted repeats."""
+    bounds = settings.bounds
+    return budget.BudgetLimits(bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window)
+
+
+def make_member(settings: gateway_settings.Settings) -> models.Member:
+    """Return the registration of a new incarnation."""
+    return models.Member(
+        settings.instance_id,
+        secrets.token_hex(_INCARNATION_BYTES),
+        settings.failure_domain,
+        settings.region,
+        settings.caller_address,
+        settings.peer_address,
+    )
--- /dev/null
+++ b/rhubarbspar/gateway/messages.py
@@ -0,0 +1,106 @@
+"""Messages between gateways."""
+
+import dataclasses
+
+from rhubarbspar.core import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayMessage(messages.Message):
+    """A message between gateways."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountUse:
+    """Requests of a client account that an instance has admitted since its start."""
+
+    account_id: str
+    admitted: int
+    rate_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionUse:
+    """Results of one version's requests at one instance since the rollout's order.
+
+    Attributes
+    ----------
+    revision
+        Store revision of the order.
+    running
+        Requests that have not ended.
+    slow
+        Good responses that took several times the usual time.
+    """
+
+    service_id: str
+    version: str
+    revision: int
+    sent: int
+    running: int
+    good: int
+    bad: int
+    slow: int
+    route_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Condemned:
+    """A version that was found bad under an order."""
+
+    service_id: str
+    version: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat(GatewayMessage):
+    """Regular statement of an instance about itself.
+
+    Attributes
+    ----------
+    store_revision
+        The store's revision up to which the sender knows all changes.
+    store_reachable
+        Whether the sender hears from the store.
+    """
+
+    incarnation: str
+    store_revision: int
+    store_reachable: bool
+    leaving: bool
+    accounts: tuple[AccountUse, ...] = ()
+    versions: tuple[VersionUse, ...] = ()
+    condemned: tuple[Condemned, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedRecord:
+    """A key of the store; ``content`` is ``None`` if the key was deleted."""
+
+    key: str
+    revision: int
+    content: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreNews(GatewayMessage):
+    """Changes of the store for a peer that the store does not serve.
+
+    Attributes
+    ----------
+    after
+        The peer's revision to which the changes apply.
+    """
+
+    after: int
+    revision: int
+    records: tuple[RelayedRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashSeen(GatewayMessage):
+    """A request was under way at a backend server when that server died."""
+
+    fingerprint: str
+    server_id: str
--- /dev/null
+++ b/rhubarbspar/gateway/news.py
@@ -0,0 +1,164 @@
+"""What the instances and the store tell each other.
+
+Patterns: gossip of cumulative counters; relay of the store's changes to peers that it does not serve.
+"""
+
+from rhubarbspar.core import effects as core_effects
+from rhubarbspar.gateway import declarations
+from rhubarbspar.gateway import effects
+from rhubarbspar.gateway import events
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import models
+from rhubarbspar.gateway import state as gateway_state
+
+
+def store_heard(
+    state: gateway_state.State, now_ms: float, revision: int
+) -> list[core_effects.Effect]:
+    """Note that the store answered."""
+    regained = not state.mirror.reachable
+    state.mirror.confirm(revision, now_ms)
+    if regained:
+        return [core_effects.Log('store_regained', (('revision', state.mirror.revision),))]
+    return []
+
+
+def store_lost(state: gateway_state.State, reason: str, now_ms: float) -> list[core_effects.Effect]:
+    """Note that a call to the store failed."""
+    lost = state.mirror.reachable
+    state.mirror.lose()
+    if not lost:
+        return []
+    fields = (('reason', reason), ('revision', state.mirror.revision))
+    return [core_effects.Log('store_lost', fields), *announce(state, now_ms)]
+
+
+def hear(
+    state: gateway_state.State, peer_id: str, heartbeat: messages.Heartbeat, now_ms: float
+) -> list[core_effects.Effect]:
+    """Take what a peer says of itself; relay changes that the store does not tell it."""
+    peer = state.fleet.peers.get(peer_id)
+    if peer is None:
+        return []
+    outputs: list[core_effects.Effect] = []
+    if not state.fleet.is_live(peer, now_ms):
+        outputs.append(core_effects.Log('peer_heard', (('peer', peer_id),)))
+    peer.heard_ms = now_ms
+    peer.heartbeat = heartbeat
+    state.quotas.hear(peer_id, heartbeat, now_ms)
+    state.rollouts.peers[peer_id] = heartbeat.versions
+    for verdict in heartbeat.condemned:
+        if state.rollouts.condemn(verdict):
+            outputs.append(_log_verdict(verdict, peer_id))
+    return outputs + _relay(state, peer_id, heartbeat)
+
+
+def take_relayed(
+    state: gateway_state.State, peer_id: str, relayed: messages.StoreNews, now_ms: float
+) -> list[core_effects.Effect]:
+    """Take changes that a peer has heard from the store."""
+    mirror = state.mirror
+    if relayed.revision <= mirror.revision or relayed.after > mirror.revision:
+        return []
+    records = tuple(
+        events.RecordRead(record.key, record.revision, record.content) for record in relayed.records
+    )
+    fields = (('peer', peer_id), ('revision', relayed.revision), ('records', len(records)))
+    changed = mirror.change(records, relayed.revision)
+    applied = declarations.apply(state, changed, now_ms)
+    return [core_effects.Log('news_relayed', fields), *applied]
+
+
+def connected(state: gateway_state.State, peer_id: str, now_ms: float) -> list[core_effects.Effect]:
+    """Greet a peer."""
+    peer = state.fleet.peers.get(peer_id)
+    if peer is not None:
+        peer.connected = True
+        peer.dialled_ms = now_ms
+    greeting = core_effects.SendMessage(peer_id, _heartbeat(state, now_ms))
+    return [core_effects.Log('peer_connected', (('peer', peer_id),)), greeting]
+
+
+def disconnected(state: gateway_state.State, peer_id: str) -> list[core_effects.Effect]:
+    """Note that the connection to a peer ended."""
+    peer = state.fleet.peers.get(peer_id)
+    if peer is not None:
+        peer.connected = False
+    return [core_effects.Log('peer_disconnected', (('peer', peer_id),))]
+
+
+def tick(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    """Send heartbeats, dial peers, judge versions and record progress when due."""
+    outputs = state.fleet.dials(now_ms)
+    verdicts = state.rollouts.judge(now_ms)
+    outputs.extend(_log_verdict(verdict, state.fleet.own.instance_id) for verdict in verdicts)
+    if verdicts or now_ms - state.fleet.sent_ms >= state.fleet.interval_ms:
+        outputs.extend(announce(state, now_ms))
+    outputs.extend(_due_statuses(state, now_ms))
+    return outputs
+
+
+def announce(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    """Tell all peers what this instance says of itself."""
+    state.fleet.sent_ms = now_ms
+    if not any(peer.connected for peer in state.fleet.peers.values()):
+        return []
+    return [core_effects.Broadcast(_heartbeat(state, now_ms))]
+
+
+def _heartbeat(state: gateway_state.State, now_ms: float) -> messages.Heartbeat:
+    return messages.Heartbeat(
+        state.fleet.own.incarnation,
+        state.mirror.revision,
+        state.mirror.reachable,
+        state.is_stopping,
+        state.quotas.report(now_ms),
+        state.rollouts.report(),
+        tuple(sorted(state.rollouts.verdicts, key=repr)),
+    )
+
+
+def _relay(
+    state: gateway_state.State, peer_id: str, heartbeat: messages.Heartbeat
+) -> list[core_effects.Effect]:
+    behind = heartbeat.store_revision < state.mirror.revision
+    if heartbeat.store_reachable or not behind:
+        return []
+    records = tuple(
+        messages.RelayedRecord(record.key, record.revision, record.content)
+        for record in state.mirror.changes_after(heartbeat.store_revision)
+    )
+    relayed = messages.StoreNews(heartbeat.store_revision, state.mirror.revision, records)
+    return [core_effects.SendMessage(peer_id, relayed)]
+
+
+def _due_statuses(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    if not state.rollouts.active or not state.mirror.reachable or state.is_stopping:
+        return []
+    if not state.fleet.coordinates(now_ms):
+        return []
+    due = state.rollouts.due_status(state.declared.statuses, now_ms)
+    outputs: list[core_effects.Effect] = []
+    for status in due:
+        outputs.append(effects.WriteStatus(status))
+        outputs.append(_log_status(status))
+    return outputs
+
+
+def _log_status(status: models.RolloutStatus) -> core_effects.Log:
+    fields = (
+        ('service', status.service_id),
+        ('version', status.version),
+        ('phase', status.phase),
+        ('replaces', status.revision),
+    )
+    return core_effects.Log('rollout_status', fields)
+
+
+def _log_verdict(verdict: messages.Condemned, instance_id: str) -> core_effects.Log:
+    fields = (
+        ('service', verdict.service_id),
+        ('version', verdict.version),
+        ('found_by', instance_id),
+    )
+    return core_effects.Log('version_condemned', fields)
--- /dev/null
+++ b/rhubarbspar/gateway/rollouts.py
@@ -0,0 +1,297 @@
+"""Moves of a service's traffic to a new version.
+
+Pattern: canary release with a baseline group; every instance derives the candidate's share from the same
+facts, the time since the order and the fleet's results, and a verdict is final.
+"""
+
+import dataclasses
+import math
+import types
+import typing
+from collections import abc
+
+from rhubarbspar.gateway import const
+from rhubarbspar.gateway import evidence
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import models
+from rhubarbspar.gateway import servers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """The candidate's share from a part of the order's time on."""
+
+    elapsed_part: float
+    share: float
+
+
+# The first step stays below the permitted exposure of a bad version; the later ones are short enough that
+# a version that fails under load is found before it has had the permitted share.
+STEPS: typing.Final = (
+    Step(0, 0.05),  # noqa: WPS432 (the table names its columns)
+    Step(0.34, 0.15),  # noqa: WPS432
+    Step(0.42, 0.4),  # noqa: WPS432
+    Step(0.5, 0.75),  # noqa: WPS432
+    Step(0.58, 1),  # noqa: WPS432
+)
+# The share only grows beyond the first step with this many results of the candidate.
+SAMPLES_MIN: typing.Final = 10
+# Without that many results the share grows after this part of the time nevertheless.
+UNPROVEN_PART: typing.Final = 0.6
+# A good response is slow if it takes this many times the usual time of its route.
+SLOW_FACTOR: typing.Final = 3.5
+# The old version has to have had no request for this long before the rollout is recorded as completed.
+QUIET_MS: typing.Final = 700
+# After this part of the time the rollout completes even if the old version still has requests.
+COMPLETE_PART: typing.Final = 0.9
+STATUS_INTERVAL_MS: typing.Final = 400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Subject:
+    """A version on one route of a service, under an order."""
+
+    service_id: str
+    version: str
+    revision: int
+    route_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class Rollout:
+    """An order and its progress at this instance."""
+
+    order: models.RolloutOrder
+    started_ms: float
+    incumbent: str | None
+    owed: float = 0
+    old_used_ms: float = -math.inf
+    status_ms: float = -math.inf
+    condemned: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Rollouts:
+    """The rollouts by service, and the results of this instance and its peers."""
+
+    active: dict[str, Rollout] = dataclasses.field(default_factory=dict)
+    incumbents: dict[str, str] = dataclasses.field(default_factory=dict)
+    tallies: dict[Subject, evidence.Tally] = dataclasses.field(default_factory=dict)
+    peers: dict[str, tuple[messages.VersionUse, ...]] = dataclasses.field(default_factory=dict)
+    verdicts: set[messages.Condemned] = dataclasses.field(default_factory=set)
+
+    def take_order(self, order: models.RolloutOrder, now_ms: float) -> None:
+        """Start a rollout."""
+        known = self.active.get(order.service_id)
+        if known is not None and known.order.revision == order.revision:
+            return
+        incumbent = self.incumbents.get(order.service_id)
+        self.active[order.service_id] = Rollout(order, now_ms, incumbent)
+
+    def take_status(self, status: models.RolloutStatus) -> None:
+        """Take the recorded end of a rollout."""
+        rollout = self.active.get(status.service_id)
+        if rollout is None or not _concerns(status, rollout.order):
+            return
+        match status.phase:
+            case const.PHASE_COMPLETED:
+                self.incumbents[status.service_id] = status.version
+            case const.PHASE_ROLLED_BACK:
+                self.condemn(_condemned(rollout.order))
+
+    def condemn(self, verdict: messages.Condemned) -> bool:
+        """Take a verdict; return whether it is new."""
+        rollout = self.active.get(verdict.service_id)
+        if rollout is not None and rollout.order.revision == verdict.revision:
+            rollout.condemned = True
+        if verdict in self.verdicts:
+            return False
+        self.verdicts.add(verdict)
+        return True
+
+    def usable(
+        self, service_id: str, views: abc.Sequence[servers.ServerView], now_ms: float
+    ) -> list[servers.ServerView]:
+        """Return the servers of the version that the next request is to use."""
+        versions = {view.server.version for view in views}
+        if not versions:
+            return []
+        version = self._next_version(service_id, versions, views, now_ms)
+        return [view for view in views if view.server.version == version]
+
+    def share(self, rollout: Rollout, now_ms: float) -> float:
+        """Return the candidate's share of the requests now."""
+        part = self._elapsed_part(rollout, now_ms)
+        share = max(step.share for step in STEPS if step.elapsed_part <= part)
+        proven = evidence.total(self._uses(rollout), rollout.order.version).ended >= SAMPLES_MIN
+        if not proven and part < UNPROVEN_PART:
+            return min(share, STEPS[0].share)
+        return share
+
+    def old_version_servers(
+        self, service_id: str, views: abc.Sequence[servers.ServerView]
+    ) -> list[servers.ServerView]:
+        """Return the servers of the version that serves without a rollout."""
+        incumbent = self._incumbent(service_id, views)
+        return [view for view in views if view.server.version == incumbent]
+
+    def subject(self, server: models.BackendServer, route_id: str) -> Subject | None:
+        """Return what a request's result counts for, if a rollout is under way."""
+        rollout = self.active.get(server.service_id)
+        if rollout is None:
+            return None
+        return Subject(server.service_id, server.version, rollout.order.revision, route_id)
+
+    def note_sent(self, subject: Subject | None, now_ms: float) -> None:
+        """Count a request sent to a version."""
+        if subject is None:
+            return
+        tally = self.tallies.setdefault(subject, evidence.Tally())
+        tally.sent += 1
+        tally.running += 1
+        rollout = self.active.get(subject.service_id)
+        if rollout is not None and subject.version != rollout.order.version:
+            rollout.old_used_ms = now_ms
+
+    def note_result(self, subject: Subject | None, *, good: bool | None, slow: bool) -> None:
+        """Count a result; ``None`` if it says nothing about the version."""
+        if subject is None:
+            return
+        tally = self.tallies.setdefault(subject, evidence.Tally())
+        tally.running -= 1
+        if good is None:
+            return
+        tally.good += good
+        tally.bad += not good
+        tally.slow += good and slow
+
+    def report(self) -> tuple[messages.VersionUse, ...]:
+        """Return the results of the rollouts under way, for the peers."""
+        return tuple(
+            messages.VersionUse(
+                subject.service_id,
+                subject.version,
+                subject.revision,
+                tally.sent,
+                tally.running,
+                tally.good,
+                tally.bad,
+                tally.slow,
+                subject.route_id,
+            )
+            for subject, tally in self.tallies.items()
+            if self._is_current(subject)
+        )
+
+    def judge(self, now_ms: float) -> tuple[messages.Condemned, ...]:
+        """Return the new verdicts."""
+        found = []
+        for rollout in self.active.values():
+            if rollout.condemned:
+                continue
+            verdict = _condemned(rollout.order)
+            if evidence.is_bad(self._uses(rollout), verdict.version) and self.condemn(verdict):
+                found.append(verdict)
+        return tuple(found)
+
+    def due_status(
+        self, statuses: abc.Mapping[str, models.RolloutStatus], now_ms: float
+    ) -> tuple[models.RolloutStatus, ...]:
+        """Return the progress that is to be recorded now; ``revision`` is the one to replace."""
+        due = []
+        for service_id, rollout in self.active.items():
+            recorded = statuses.get(service_id)
+            phase = self._phase(rollout, now_ms)
+            if not _is_due(recorded, rollout, phase):
+                continue
+            if now_ms - rollout.status_ms < STATUS_INTERVAL_MS:
+                continue
+            rollout.status_ms = now_ms
+            revision = 0 if recorded is None else recorded.revision
+            due.append(models.RolloutStatus(service_id, rollout.order.version, phase, revision))
+        return tuple(due)
+
+    def _next_version(
+        self,
+        service_id: str,
+        versions: set[str],
+        views: abc.Sequence[servers.ServerView],
+        now_ms: float,
+    ) -> str:
+        incumbent = self._incumbent(service_id, views)
+        rollout = self.active.get(service_id)
+        if rollout is None or rollout.order.version == incumbent:
+            return incumbent
+        candidate = rollout.order.version
+        verdict = _condemned(rollout.order)
+        if rollout.condemned or verdict in self.verdicts:
+            return incumbent
+        if candidate not in versions:
+            return incumbent
+        rollout.owed = min(1.0, rollout.owed) + self.share(rollout, now_ms)
+        if rollout.owed < 1:
+            return incumbent
+        rollout.owed -= 1
+        return candidate
+
+    def _incumbent(self, service_id: str, views: abc.Sequence[servers.ServerView]) -> str:
+        """Return the version in use; without one, that of most servers but the ordered version."""
+        known = self.incumbents.get(service_id)
+        present = [view.server.version for view in views]
+        if known in present:
+            return known
+        rollout = self.active.get(service_id)
+        ordered = None if rollout is None else rollout.order.version
+        others = [version for version in present if version != ordered] or present
+        chosen = max(sorted(set(others)), key=others.count)
+        self.incumbents[service_id] = chosen
+        return chosen
+
+    def _phase(self, rollout: Rollout, now_ms: float) -> str:
+        if rollout.condemned:
+            return const.PHASE_ROLLED_BACK
+        part = self._elapsed_part(rollout, now_ms)
+        if self.share(rollout, now_ms) < 1:
+            return const.PHASE_RUNNING
+        uses = self._uses(rollout)
+        old_running = sum(use.running for use in uses if use.version != rollout.order.version)
+        quiet = old_running <= 0 and now_ms - rollout.old_used_ms > QUIET_MS
+        return const.PHASE_COMPLETED if quiet or part >= COMPLETE_PART else const.PHASE_RUNNING
+
+    def _elapsed_part(self, rollout: Rollout, now_ms: float) -> float:
+        return (now_ms - rollout.started_ms) / max(1, rollout.order.duration_ms)
+
+    def _is_current(self, subject: Subject) -> bool:
+        rollout = self.active.get(subject.service_id)
+        return rollout is not None and rollout.order.revision == subject.revision
+
+    def _uses(self, rollout: Rollout) -> list[messages.VersionUse]:
+        uses = list(self.report())
+        for reported in self.peers.values():
+            uses.extend(reported)
+        order = rollout.order
+        return [
+            use
+            for use in uses
+            if use.service_id == order.service_id and use.revision == order.revision
+        ]
+
+
+def _condemned(order: models.RolloutOrder) -> messages.Condemned:
+    return messages.Condemned(order.service_id, order.version, order.revision)
+
+
+def _concerns(status: models.RolloutStatus, order: models.RolloutOrder) -> bool:
+    return status.version == order.version and status.revision > order.revision
+
+
+_RANK: typing.Final = types.MappingProxyType(
+    {const.PHASE_RUNNING: 0, const.PHASE_COMPLETED: 1, const.PHASE_ROLLED_BACK: 1}
+)
+
+
+def _is_due(recorded: models.RolloutStatus | None, rollout: Rollout, phase: str) -> bool:
+    """Return whether the record has to change; the end of a rollout is final."""
+    if recorded is None or not _concerns(recorded, rollout.order):
+        return True
+    return _RANK[phase] > _RANK.get(recorded.phase, 0)
--- /dev/null
+++ b/rhubarbspar/gateway/selection.py
@@ -0,0 +1,173 @@
+"""Choice of the backend server for a request.
+
+Patterns: shortest expected delay over estimated load, with rendezvous hashing for requests that concern
+the same object (Thaler and Ravishankar, 1998) and spill-over by load.
+"""
+
+import dataclasses
+import math
+import typing
+from collections import abc
+
+from rhubarbspar.gateway import servers
+from rhubarbspar.helpers import rendezvous
+
+# Part of the usual work that a server saves that handles an object regularly: first and second choice.
+AFFINITY_GAINS: typing.Final = (0.4, 0.3)
+# Requests that fit into a slot still slow each other; part of the work at full slots.
+CROWDING: typing.Final = 0.15
+# A failed attempt costs about this many times the usual work: the loss and the second try.
+FAILURE_COST: typing.Final = 4.0
+# A cold server answers at about half its speed.
+COLD_FACTOR: typing.Final = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conditions:
+    """What the choice depends on besides the servers.
+
+    Attributes
+    ----------
+    work_ms
+        Usual time of the route at a server without queue.
+    usual_others
+        Requests of other instances that a server of the service usually has.
+    network_ms
+        Round trip to each failure domain, with the price of distance.
+    object_key
+        Object of a sticky route, if any.
+    """
+
+    now_ms: float
+    work_ms: float
+    usual_others: float
+    network_ms: abc.Callable[[str], float]
+    object_key: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """A server and the time after which its response is expected."""
+
+    view: servers.ServerView
+    expected_ms: float
+    rank: int | None
+
+
+def choose(candidates: abc.Sequence[servers.ServerView], conditions: Conditions) -> Choice | None:
+    """Return the server with the shortest expected delay, or ``None`` without candidates."""
+    now_ms = conditions.now_ms
+    usable = [view for view in candidates if view.may_send(now_ms)]
+    alive = [view for view in usable if view.ejected_until_ms <= now_ms]
+    # With every server ejected, the one that failed longest ago is the best guess.
+    considered = alive or sorted(usable, key=lambda view: view.ejected_until_ms)[:1]
+    preferred = _preferred(candidates, conditions.object_key)
+    best: Choice | None = None
+    for view in considered:
+        rank = preferred.get(view.server.server_id)
+        choice = Choice(view, expected_ms(view, conditions, rank), rank)
+        if best is None or choice.expected_ms < best.expected_ms:
+            best = choice
+    return best
+
+
+def expected_ms(view: servers.ServerView, conditions: Conditions, rank: int | None) -> float:
+    """Return the time after which a server's response is expected, with the cost of failures."""
+    now_ms = conditions.now_ms
+    load = view.load_at(now_ms, conditions.usual_others)
+    work_ms = conditions.work_ms * view.speed
+    if view.is_cold(now_ms):
+        work_ms *= COLD_FACTOR
+    gain = 0.0 if rank is None else AFFINITY_GAINS[rank]
+    wait_ms = max(0, load - view.slots + 1) * work_ms / view.slots
+    crowding_ms = CROWDING * work_ms * min(1, load / view.slots)
+    failing_ms = view.failure_share_at(now_ms) * FAILURE_COST * conditions.work_ms
+    return (
+        conditions.network_ms(view.server.failure_domain)
+        + wait_ms
+        + crowding_ms
+        + failing_ms
+        + work_ms * (1 - gain)
+    )
+
+
+def _preferred(
+    candidates: abc.Sequence[servers.ServerView], object_key: str | None
+) -> dict[str, int]:
+    if object_key is None:
+        return {}
+    server_ids = [view.server.server_id for view in candidates]
+    chosen = rendezvous.rank(object_key, server_ids)[: len(AFFINITY_GAINS)]
+    return {server_id: rank for rank, server_id in enumerate(chosen)}
+
+
+@dataclasses.dataclass(slots=True)
+class WorkTimes:
+    """Usual time of each route at a server without queue, in milliseconds."""
+
+    by_route: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def get(self, route_id: str, default_ms: float) -> float:
+        """Return the usual time of a route."""
+        return self.by_route.get(route_id, default_ms)
+
+    def note(self, route_id: str, elapsed_ms: float, default_ms: float) -> None:
+        """Average a response that met no queue."""
+        known = self.by_route.get(route_id, default_ms)
+        self.by_route[route_id] = known + (elapsed_ms - known) * WORK_WEIGHT
+
+
+# Weight of the newest response in the usual time of a route.
+WORK_WEIGHT: typing.Final = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class NetworkTimes:
+    """Round trip times to failure domains, learnt from opened connections.
+
+    Attributes
+    ----------
+    regions
+        Region of each failure domain.
+    """
+
+    failure_domain: str
+    region: str
+    regions: abc.Mapping[str, str]
+    measured_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def round_trip_ms(self, failure_domain: str) -> float:
+        """Return the measured round trip, or a usual one."""
+        measured = self.measured_ms.get(failure_domain)
+        if measured is not None:
+            return measured
+        if failure_domain == self.failure_domain:
+            return SAME_DOMAIN_MS
+        if self.regions.get(failure_domain) == self.region:
+            return SAME_REGION_MS
+        return OTHER_REGION_MS
+
+    def cost_ms(self, failure_domain: str) -> float:
+        """Return the round trip with the price of bytes between places."""
+        price_ms = 0.0
+        if failure_domain != self.failure_domain:
+            price_ms = DOMAIN_PRICE_MS
+        if self.regions.get(failure_domain) != self.region:
+            price_ms = REGION_PRICE_MS
+        return self.round_trip_ms(failure_domain) + price_ms
+
+    def note(self, failure_domain: str, connect_ms: float) -> None:
+        """Take the time that opening a connection took; the least of the last ones counts."""
+        known = self.measured_ms.get(failure_domain, math.inf)
+        self.measured_ms[failure_domain] = min(connect_ms, known * MEASURED_GROWTH)
+
+
+# Usual round trips before any was measured, milliseconds.
+SAME_DOMAIN_MS: typing.Final = 1.0
+SAME_REGION_MS: typing.Final = 3.0
+OTHER_REGION_MS: typing.Final = 50.0
+# Bytes between places are paid for; the price of a response as time that callers would accept instead.
+DOMAIN_PRICE_MS: typing.Final = 2.0
+REGION_PRICE_MS: typing.Final = 12.0
+# A measured minimum fades by this factor with each new measurement, so that a longer path is noticed.
+MEASURED_GROWTH: typing.Final = 1.1
--- /dev/null
+++ b/rhubarbspar/gateway/servers.py
@@ -0,0 +1,207 @@
+"""What an instance knows of the backend servers: declarations, load and failures.
+
+Patterns: outlier ejection with exponential backoff, exponentially weighted moving averages, paced
+requests to cold servers.
+"""
+
+import dataclasses
+import math
+import random
+import typing
+
+from rhubarbspar.gateway import events
+from rhubarbspar.gateway import models
+
+# A server that could not be reached is left out for this time, doubled with each failure in a row.
+EJECTION_MIN_MS: typing.Final = 500
+EJECTION_MAX_MS: typing.Final = 4000
+# A reported load says less the older it is; this is the time constant of its decay.
+REPORT_DECAY_MS: typing.Final = 600
+# Weight of the newest sample in the averages of failures and speed.
+FAILURE_WEIGHT: typing.Final = 0.15
+SPEED_WEIGHT: typing.Final = 0.15
+SPEED_MIN: typing.Final = 0.5
+SPEED_MAX: typing.Final = 8.0
+# Failures that are not repeated are forgotten with this time constant.
+FAILURE_DECAY_MS: typing.Final = 4000
+# A removed server whose registration lapsed is used until this long after the store has settled.
+LAPSE_MARGIN_MS: typing.Final = 200
+# A server that answered within this time lives.
+ALIVE_MS: typing.Final = 5000
+
+
+@dataclasses.dataclass(slots=True)
+class ServerView:
+    """A backend server as this instance sees it.
+
+    Attributes
+    ----------
+    running
+        Requests of this instance that have not ended.
+    others
+        Requests of all other callers at the last report.
+    speed
+        Time that the server takes, relative to the usual time of its routes.
+    failures
+        Average of failed attempts, 0 to 1.
+    gone_at_ms
+        When to stop using a server whose registration has lapsed; infinite otherwise.
+    cold_next_ms
+        The next request to the cold server may be sent then.
+    """
+
+    server: models.BackendServer
+    cold_until_ms: float
+    running: int = 0
+    others: float = 0
+    reported_ms: float = -math.inf
+    speed: float = 1
+    failures: float = 0
+    failed_ms: float = -math.inf
+    ejected_until_ms: float = -math.inf
+    ejections: int = 0
+    answered_ms: float = -math.inf
+    gone_at_ms: float = math.inf
+    cold_next_ms: float = -math.inf
+    slots: int = 1
+
+    def take_declaration(self, server: models.BackendServer, now_ms: float) -> None:
+        """Use a newer declaration of the same incarnation."""
+        self.server = server
+        self.slots = server.slots
+        self.gone_at_ms = math.inf
+        self.cold_until_ms = max(self.cold_until_ms, now_ms + server.cold_ms)
+
+    def take_report(self, load: events.LoadReport, now_ms: float) -> None:
+        """Use the load that a response reports; this instance's own requests are known better."""
+        self.slots = max(1, load.slots)
+        # The request that this response answers is still counted as running here.
+        self.others = max(0, load.running + load.waiting - self.running)
+        self.reported_ms = now_ms
+
+    def load_at(self, now_ms: float, usual_others: float) -> float:
+        """Return the estimated number of requests at the server."""
+        if self.reported_ms == -math.inf:
+            return self.running + usual_others
+        kept = math.exp((self.reported_ms - now_ms) / REPORT_DECAY_MS)
+        return self.running + self.others * kept + usual_others * (1 - kept)
+
+    def failure_share_at(self, now_ms: float) -> float:
+        """Return the average of failed attempts, less with time."""
+        return self.failures * math.exp((self.failed_ms - now_ms) / FAILURE_DECAY_MS)
+
+    def note_success(self, now_ms: float) -> None:
+        """Count an attempt that the server answered."""
+        self.failures = self.failure_share_at(now_ms) * (1 - FAILURE_WEIGHT)
+        self.failed_ms = now_ms
+        self.answered_ms = now_ms
+        self.ejections = 0
+        self.ejected_until_ms = -math.inf
+
+    def note_failure(self, now_ms: float) -> None:
+        """Count an attempt that the server failed."""
+        share = self.failure_share_at(now_ms)
+        self.failures = share + (1 - share) * FAILURE_WEIGHT
+        self.failed_ms = now_ms
+
+    def eject(self, now_ms: float) -> None:
+        """Leave the server out for a while, longer each time in a row."""
+        if now_ms < self.ejected_until_ms:
+            return
+        duration_ms = min(EJECTION_MIN_MS * 2**self.ejections, EJECTION_MAX_MS)
+        self.ejections += 1
+        self.ejected_until_ms = now_ms + duration_ms
+
+    def note_speed(self, ratio: float) -> None:
+        """Average the time taken, relative to the usual time."""
+        bounded = min(SPEED_MAX, max(SPEED_MIN, ratio))
+        self.speed += (bounded - self.speed) * SPEED_WEIGHT
+
+    def is_cold(self, now_ms: float) -> bool:
+        """Return whether the server is cold."""
+        return now_ms < self.cold_until_ms
+
+    def may_send(self, now_ms: float) -> bool:
+        """Return whether the pace of a cold server permits a request now."""
+        return not self.is_cold(now_ms) or now_ms >= self.cold_next_ms
+
+    def pace(self, now_ms: float, interval_ms: float) -> None:
+        """Space the requests to a cold server."""
+        self.cold_next_ms = now_ms + interval_ms
+
+    def offset_pace(self, now_ms: float, interval_ms: float) -> None:
+        """Let the instances start their paces at different times."""
+        self.cold_next_ms = now_ms + random.uniform(0, interval_ms)  # noqa: S311
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Statement:
+    """Identifies the newest statement of a server."""
+
+    born_unix_ms: int
+    sequence: int
+
+
+@dataclasses.dataclass(slots=True)
+class Servers:
+    """All backend servers by id.
+
+    Attributes
+    ----------
+    newest
+        The newest statement of each id, also of removed servers: a late one of before is ignored.
+    """
+
+    views: dict[str, ServerView] = dataclasses.field(default_factory=dict)
+    by_service: dict[str, dict[str, ServerView]] = dataclasses.field(default_factory=dict)
+    newest: dict[str, _Statement] = dataclasses.field(default_factory=dict)
+
+    def declare(self, server: models.BackendServer, now_ms: float) -> bool:
+        """Take a declaration; return whether it is a new server or incarnation."""
+        newest = self.newest.get(server.server_id)
+        if newest is not None and _is_older(server, newest):
+            return False
+        self.newest[server.server_id] = _Statement(server.born_unix_ms, server.sequence)
+        view = self.views.get(server.server_id)
+        if view is not None and _same_incarnation(view.server, server):
+            view.take_declaration(server, now_ms)
+            return False
+        self.remove(server.server_id)
+        added = ServerView(server, cold_until_ms=now_ms + server.cold_ms, slots=server.slots)
+        self.views[server.server_id] = added
+        self.by_service.setdefault(server.service_id, {})[server.server_id] = added
+        return True
+
+    def lapse(self, server_id: str, gone_at_ms: float) -> None:
+        """Use a server whose registration is missing until a time."""
+        view = self.views.get(server_id)
+        if view is not None:
+            view.gone_at_ms = min(view.gone_at_ms, gone_at_ms)
+
+    def remove(self, server_id: str) -> None:
+        """Forget a server, but not its newest statement."""
+        view = self.views.pop(server_id, None)
+        if view is not None:
+            self.by_service[view.server.service_id].pop(server_id)
+
+    def of_service(self, service_id: str) -> list[ServerView]:
+        """Return the servers of a service."""
+        return list(self.by_service.get(service_id, {}).values())
+
+    def expired(self, now_ms: float) -> list[str]:
+        """Return the servers whose lapsed registration did not come back."""
+        return [server_id for server_id, view in self.views.items() if view.gone_at_ms <= now_ms]
+
+
+def _is_older(server: models.BackendServer, newest: _Statement) -> bool:
+    if server.born_unix_ms != newest.born_unix_ms:
+        return server.born_unix_ms < newest.born_unix_ms
+    return server.sequence < newest.sequence
+
+
+def _same_incarnation(known: models.BackendServer, declared: models.BackendServer) -> bool:
+    return _identity(known) == _identity(declared)
+
+
+def _identity(server: models.BackendServer) -> tuple[object, ...]:
+    return (server.born_unix_ms, server.host, server.port, server.service_id, server.version)
--- /dev/null
+++ b/rhubarbspar/gateway/settings.py
@@ -0,0 +1,123 @@
+"""Settings of a gateway."""
+
+import dataclasses
+import pathlib
+import types
+import typing
+
+import voluptuous
+
+from rhubarbspar.helpers import durations
+from rhubarbspar.helpers import fields
+from rhubarbspar.helpers import settings_file
+
+CONF_BOUNDS: typing.Final = 'bounds'
+CONF_CALLER_ADDRESS: typing.Final = 'caller_address'
+CONF_DIRECTORY_ADDRESS: typing.Final = 'directory_address'
+CONF_FAILURE_DOMAIN: typing.Final = 'failure_domain'
+CONF_INSTANCE_ID: typing.Final = 'instance_id'
+CONF_LOG_LEVEL: typing.Final = 'log_level'
+CONF_METRICS_ADDRESS: typing.Final = 'metrics_address'
+CONF_PEER_ADDRESS: typing.Final = 'peer_address'
+CONF_READINESS_ADDRESS: typing.Final = 'readiness_address'
+CONF_REGION: typing.Final = 'region'
+CONF_REGIONS: typing.Final = 'regions'
+CONF_STORE_ADDRESS: typing.Final = 'store_address'
+
+DEFAULT_LOG_LEVEL: typing.Final = 'INFO'
+LOG_LEVELS: typing.Final = ('CRITICAL', 'DEBUG', 'ERROR', 'INFO', 'WARNING')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the operators demand of the fleet.
+
+    Attributes
+    ----------
+    stop_grace
+        Time from the request to stop until the process is killed, milliseconds.
+    retry_ratio, retry_allowance, retry_window
+        Repeats of a service in a window (milliseconds): at most the ratio of its requests, plus the
+        allowance, over all instances.
+    """
+
+    stop_grace: float
+    retry_ratio: float
+    retry_allowance: float
+    retry_window: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of one gateway.
+
+    Attributes
+    ----------
+    caller_address, directory_address, metrics_address, peer_address, readiness_address
+        Where the gateway listens, ``host:port`` with an IP number.
+    regions
+        Region of each failure domain.
+    store_address
+        The platform's key-value store.
+    """
+
+    instance_id: str
+    failure_domain: str
+    region: str
+    regions: dict[str, str]
+    caller_address: str
+    directory_address: str
+    metrics_address: str
+    peer_address: str
+    readiness_address: str
+    store_address: str
+    bounds: Bounds
+    log_level: str = DEFAULT_LOG_LEVEL
+
+
+def load(path: str | pathlib.Path) -> Settings:
+    """Read a settings file.
+
+    Raises
+    ------
+    errors.UnreadableFileError
+        If the file cannot be read.
+    errors.InvalidFileError
+        With file, line and key of every fault.
+    """
+    return settings_file.load(path, _SCHEMA, _NO_SECRETS, Settings)
+
+
+def _duration_ms(raw: object) -> float:
+    try:
+        return durations.parse_ms(raw)
+    except ValueError as error:
+        raise voluptuous.Invalid('expected a time such as 1500ms or 2.5s') from error
+
+
+_NO_SECRETS: typing.Final[types.MappingProxyType[str, int]] = types.MappingProxyType({})
+_NUMBER: typing.Final = voluptuous.All(fields.number, voluptuous.Range(min=0))
+_BOUNDS: typing.Final = voluptuous.Schema(
+    {
+        voluptuous.Required('stop_grace'): _duration_ms,
+        voluptuous.Required('retry_ratio'): _NUMBER,
+        voluptuous.Required('retry_allowance'): _NUMBER,
+        voluptuous.Required('retry_window'): _duration_ms,
+    }
+)
+_SCHEMA: typing.Final = voluptuous.Schema(
+    {
+        voluptuous.Required(CONF_BOUNDS): _BOUNDS,
+        voluptuous.Required(CONF_CALLER_ADDRESS): fields.address,
+        voluptuous.Required(CONF_DIRECTORY_ADDRESS): fields.address,
+        voluptuous.Required(CONF_FAILURE_DOMAIN): fields.identifier,
+        voluptuous.Required(CONF_INSTANCE_ID): fields.identifier,
+        voluptuous.Optional(CONF_LOG_LEVEL): voluptuous.In(LOG_LEVELS),
+        voluptuous.Required(CONF_METRICS_ADDRESS): fields.address,
+        voluptuous.Required(CONF_PEER_ADDRESS): fields.address,
+        voluptuous.Required(CONF_READINESS_ADDRESS): fields.address,
+        voluptuous.Required(CONF_REGION): fields.identifier,
+        voluptuous.Required(CONF_REGIONS): {fields.identifier: fields.identifier},
+        voluptuous.Required(CONF_STORE_ADDRESS): fields.address,
+    }
+)
--- /dev/null
+++ b/rhubarbspar/gateway/state.py
@@ -0,0 +1,131 @@
+"""State of a gateway; the reducer changes it in place."""
+
+import dataclasses
+import math
+import typing
+from collections import abc
+
+from rhubarbspar.gateway import budget as retry_budget
+from rhubarbspar.gateway import crashes as crash_register
+from rhubarbspar.gateway import fleet as gateway_fleet
+from rhubarbspar.gateway import mirror as store_mirror
+from rhubarbspar.gateway import models
+from rhubarbspar.gateway import quotas as account_quotas
+from rhubarbspar.gateway import rollouts as rollout_state
+from rhubarbspar.gateway import selection
+from rhubarbspar.gateway import servers as server_views
+
+Record: typing.TypeAlias = (
+    models.Configuration
+    | models.BackendServer
+    | models.RolloutOrder
+    | models.RolloutStatus
+    | models.Evacuation
+    | models.Member
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Declared:
+    """What operators and backend servers declare."""
+
+    configuration: models.Configuration | None = None
+    records: dict[str, Record] = dataclasses.field(default_factory=dict)
+    evacuated: set[str] = dataclasses.field(default_factory=set)
+    statuses: dict[str, models.RolloutStatus] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A request at a backend server."""
+
+    number: int
+    attempt: int
+    view: server_views.ServerView
+    started_ms: float
+    expected_ms: float
+    waited: bool
+    subject: rollout_state.Subject | None
+
+
+@dataclasses.dataclass(slots=True)
+class PendingRequest:
+    """A request that has no final response yet.
+
+    Attributes
+    ----------
+    due_ms
+        The latest time of the final response.
+    may_have_run
+        An earlier attempt may have run.
+    """
+
+    request: models.Request
+    route: models.Route
+    account: models.ClientAccount | None
+    service_id: str
+    arrived_ms: float
+    due_ms: float
+    current: Attempt | None = None
+    tried: list[str] = dataclasses.field(default_factory=list)
+    runs: int = 0
+    sends: int = 0
+    may_have_run: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Lifecycle:
+    """The planned stop."""
+
+    stop_ms: float = math.inf
+    closed_idle: bool = False
+    stopped_listening: bool = False
+    exited: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Times in which instances have to act, milliseconds.
+
+    Attributes
+    ----------
+    stop_grace_ms
+        The process is killed this long after the request to stop.
+    """
+
+    stop_grace_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """Everything that a gateway knows."""
+
+    decode: abc.Callable[[str, bytes, int], Record | None]
+    bounds: Bounds
+    fleet: gateway_fleet.Fleet
+    budget: retry_budget.RetryBudget
+    network: selection.NetworkTimes
+    mirror: store_mirror.Mirror = dataclasses.field(default_factory=store_mirror.Mirror)
+    declared: Declared = dataclasses.field(default_factory=Declared)
+    servers: server_views.Servers = dataclasses.field(default_factory=server_views.Servers)
+    work: selection.WorkTimes = dataclasses.field(default_factory=selection.WorkTimes)
+    quotas: account_quotas.Quotas = dataclasses.field(default_factory=account_quotas.Quotas)
+    crashes: crash_register.CrashRegister = dataclasses.field(
+        default_factory=crash_register.CrashRegister
+    )
+    rollouts: rollout_state.Rollouts = dataclasses.field(default_factory=rollout_state.Rollouts)
+    pending: dict[int, PendingRequest] = dataclasses.field(default_factory=dict)
+    attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    weights: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
+    lifecycle: Lifecycle = dataclasses.field(default_factory=Lifecycle)
+    next_attempt: int = 0
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether a stop was requested."""
+        return self.lifecycle.stop_ms != math.inf
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new callers are to be sent here."""
+        return self.declared.configuration is not None and not self.is_stopping
--- a/rhubarbspar/helpers/logs.py
+++ b/rhubarbspar/helpers/logs.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+from collections import abc
 
 import loguru
 
@@ -10,10 +11,10 @@
 _PLAIN = frozenset('abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-:/')
 
 
-def configure(level: str) -> None:
-    """Write log lines of at least this level to standard error."""
+def configure(level: str, sink: abc.Callable[[str], None] | None = None) -> None:
+    """Write log lines of at least this level to a sink, or to standard error."""
     loguru.logger.remove()
-    loguru.logger.add(sys.stderr, level=level, format=_format_record)
+    loguru.logger.add(sink or sys.stderr, level=level, format=_format_record)
 
 
 def write(instance_id: str, effect: effects.Log) -> None:
--- /dev/null
+++ b/rhubarbspar/http1/const.py
@@ -0,0 +1,39 @@
+"""Constants of the HTTP connections."""
+
+import typing
+
+# A peer that does not acknowledge data for this long is unreachable; the kernel then ends the connection.
+TCP_USER_TIMEOUT_MS: typing.Final = 8000
+
+# Requests of one connection that are worked on at the same time.
+PIPELINE_MAX: typing.Final = 32
+
+# After the last response the peer gets this long to read it and to close.
+LINGER_S: typing.Final = 1.0
+
+RESPONSE_MAX_BYTES: typing.Final = 67_108_864
+
+# Kept connections close this long before the peer's announced idle timeout.
+KEEP_ALIVE_MARGIN_MS: typing.Final = 1000
+
+HOP_BY_HOP: typing.Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+STATUS_BAD_REQUEST: typing.Final = 400
+STATUS_REQUEST_TIMEOUT: typing.Final = 408
+STATUS_CONTENT_TOO_LARGE: typing.Final = 413
+STATUS_HEADERS_TOO_LARGE: typing.Final = 431
+STATUS_NO_CONTENT: typing.Final = 204
+STATUS_NOT_MODIFIED: typing.Final = 304
+STATUS_OK: typing.Final = 200
--- /dev/null
+++ b/rhubarbspar/http1/messages.py
@@ -0,0 +1,105 @@
+"""HTTP messages and their serialization."""
+
+import dataclasses
+import http
+import typing
+from collections import abc
+
+from rhubarbspar.http1 import const
+
+Header: typing.TypeAlias = tuple[bytes, bytes]
+Headers: typing.TypeAlias = tuple[Header, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A complete request; header names are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A complete response; header names are in lower case.
+
+    Attributes
+    ----------
+    keep_alive
+        Whether the connection can carry another request.
+    """
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b''
+    keep_alive: bool = True
+
+
+def find(headers: abc.Iterable[Header], name: bytes) -> bytes | None:
+    """Return the first value of a header, or ``None``."""
+    for candidate, content in headers:
+        if candidate == name:
+            return content
+    return None
+
+
+def end_to_end(headers: abc.Iterable[Header]) -> list[Header]:
+    """Return the headers without those that concern only one connection."""
+    kept = tuple(headers)
+    named = _connection_options(kept)
+    return [
+        (name, content)
+        for name, content in kept
+        if name not in const.HOP_BY_HOP and name not in named
+    ]
+
+
+def serialize_request(request: Request) -> bytes:
+    """Return the bytes of a request; the body's length is added where there is one."""
+    lines = [b'%b %b HTTP/1.1' % (request.method, request.target)]
+    lines.extend(b'%b: %b' % header for header in request.headers if header[0] != b'content-length')
+    if request.body or request.method not in {b'GET', b'HEAD', b'DELETE', b'OPTIONS'}:
+        lines.append(b'content-length: %d' % len(request.body))
+    return b'\r\n'.join((*lines, b'', request.body))
+
+
+def serialize_response(response: Response, *, to_head: bool, close: bool) -> bytes:
+    """Return the bytes of a response.
+
+    Parameters
+    ----------
+    response
+        What to send.
+    to_head
+        The request was HEAD: the length is announced, the body is not sent.
+    close
+        The connection ends behind this response.
+    """
+    lines = [b'HTTP/1.1 %d %b' % (response.status, _phrase(response.status))]
+    lines.extend(
+        b'%b: %b' % header
+        for header in response.headers
+        if header[0] != b'content-length' or to_head
+    )
+    if not to_head and response.status not in {const.STATUS_NO_CONTENT, const.STATUS_NOT_MODIFIED}:
+        lines.append(b'content-length: %d' % len(response.body))
+    if close:
+        lines.append(b'connection: close')
+    return b'\r\n'.join((*lines, b'', b'' if to_head else response.body))
+
+
+def _connection_options(headers: Headers) -> frozenset[bytes]:
+    options: set[bytes] = set()
+    for name, content in headers:
+        if name == b'connection':
+            options.update(option.strip().lower() for option in content.split(b','))
+    return frozenset(options)
+
+
+def _phrase(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b'Unknown'
--- a/rhubarbspar/peers/transport.py
+++ b/rhubarbspar/peers/transport.py
@@ -21,6 +21,7 @@
 from rhubarbspar.peers import const
 from rhubarbspar.peers import errors
 from rhubarbspar.peers import handshake
+from rhubarbspar.peers import registry
 
 # Failures are reported as counts; the library's own messages would repeat them.
 _LIBRARY_LOGGER: typing.Final = logging.getLogger('rhubarbspar.peers.websockets')
@@ -63,6 +64,8 @@
         Called with each event, never from within ``apply``.
     report
         Called with ``Count`` and ``Log`` effects of the transport itself.
+    message_types
+        The messages by type name; those of the entry instances if omitted.
     """
 
     def __init__(
@@ -70,11 +73,12 @@
         settings: TransportSettings,
         deliver: abc.Callable[[events.Event], None],
         report: abc.Callable[[effects.Effect], None],
+        message_types: registry.MessageTypes | None = None,
     ) -> None:
         self._settings = settings
         self._deliver = deliver
         self._report = report
-        self._codec = codec.Codec()
+        self._codec = codec.Codec(message_types)
         self._connections: dict[str, connection.PeerConnection] = {}
         self._dials: dict[str, tuple[str, asyncio.Task[None]]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
--- /dev/null
+++ b/rhubarbspar/platform/const.py
@@ -0,0 +1,37 @@
+"""Names of the platform's protocols."""
+
+import typing
+
+HEADER_ATTEMPT_ID: typing.Final = b'x-rhubarbspar-attempt-id'
+HEADER_DEADLINE_MS: typing.Final = b'x-rhubarbspar-deadline-ms'
+# The account to which an access key belongs; the platform says tenant.
+HEADER_ACCOUNT: typing.Final = b'x-rhubarbspar-tenant'
+# The only backend server that may run the request.
+HEADER_EXPECTED_SERVER: typing.Final = b'x-rhubarbspar-target-instance'
+HEADER_LOAD: typing.Final = b'x-rhubarbspar-server-load'
+HEADER_NOT_RUN: typing.Final = b'x-rhubarbspar-not-executed'
+HEADER_AUTHORIZATION: typing.Final = b'authorization'
+HEADER_COOKIE: typing.Final = b'cookie'
+HEADER_HOST: typing.Final = b'host'
+HEADER_CONTENT_ENCODING: typing.Final = b'content-encoding'
+HEADER_RETRY_AFTER: typing.Final = b'retry-after'
+COOKIE_OBJECT: typing.Final = 'X-Rhubarbspar-Affinity-Key'
+KEY_SCHEME: typing.Final = 'bearer '
+
+PREFIX_ALL: typing.Final = ''
+KEY_CONFIGURATION: typing.Final = 'op/config'
+PREFIX_EVACUATION: typing.Final = 'op/evacuate/'
+PREFIX_ROLLOUT: typing.Final = 'op/rollout/'
+PREFIX_ROLLOUT_STATUS: typing.Final = 'status/rollout/'
+PREFIX_SERVER: typing.Final = 'servers/'
+PREFIX_MEMBER: typing.Final = 'fleet/instances/'
+KEY_FLEET: typing.Final = 'fleet/key'
+
+PATH_READY: typing.Final = b'/readiness'
+PATH_RESOLVE: typing.Final = b'/resolve'
+
+STATUS_CONFLICT: typing.Final = 412
+STATUS_MISDIRECTED: typing.Final = 421
+STATUS_NOT_FOUND: typing.Final = 404
+STATUS_COMPACTED: typing.Final = 410
+STATUS_OK: typing.Final = 200
--- /dev/null
+++ b/rhubarbspar/platform/requests.py
@@ -0,0 +1,130 @@
+"""Requests of callers, and the requests and responses of backend servers."""
+
+import hashlib
+import json
+from urllib import parse as urls
+
+from rhubarbspar.gateway import effects
+from rhubarbspar.gateway import events
+from rhubarbspar.gateway import models
+from rhubarbspar.http1 import messages
+from rhubarbspar.platform import const
+
+_REPLACED = frozenset(
+    (
+        const.HEADER_ACCOUNT,
+        const.HEADER_AUTHORIZATION,
+        const.HEADER_DEADLINE_MS,
+        const.HEADER_EXPECTED_SERVER,
+    )
+)
+_LOAD_FIELDS = 3
+_MS_PER_S = 1000
+_MS_DIGITS = 3
+_FINGERPRINT_BYTES = 12
+
+
+def decode_request(request: messages.Request, number: int) -> models.Request:
+    """Return what a caller's request asks for."""
+    path, _, _query = request.target.decode('latin-1').partition('?')
+    return models.Request(
+        number=number,
+        attempt_id=_text(request, const.HEADER_ATTEMPT_ID) or '',
+        method=request.method.decode('latin-1'),
+        host=_host(_text(request, const.HEADER_HOST) or ''),
+        path=path,
+        access_key=_access_key(_text(request, const.HEADER_AUTHORIZATION)),
+        object_key=_object_key(_text(request, const.HEADER_COOKIE)),
+        deadline_ms=_deadline(_text(request, const.HEADER_DEADLINE_MS)),
+        fingerprint=_fingerprint(request),
+        body_bytes=len(request.body),
+    )
+
+
+def encode_attempt(request: messages.Request, attempt: effects.StartAttempt) -> messages.Request:
+    """Return the request as a backend server gets it."""
+    headers = [
+        header for header in messages.end_to_end(request.headers) if header[0] not in _REPLACED
+    ]
+    left_ms = max(1, int(attempt.time_left_ms))
+    headers.append((const.HEADER_DEADLINE_MS, b'%d' % left_ms))
+    headers.append((const.HEADER_EXPECTED_SERVER, attempt.server.server_id.encode()))
+    if attempt.account_id is not None:
+        headers.append((const.HEADER_ACCOUNT, attempt.account_id.encode()))
+    return messages.Request(request.method, request.target, tuple(headers), request.body)
+
+
+def expected_echo(request: messages.Request) -> messages.Header | None:
+    """Return the header that identifies the response to a request."""
+    attempt_id = messages.find(request.headers, const.HEADER_ATTEMPT_ID)
+    return None if attempt_id is None else (const.HEADER_ATTEMPT_ID, attempt_id)
+
+
+def attempt_result(response: messages.Response) -> events.AttemptResult:
+    """Return what a backend server's response says about the request."""
+    if response.status == const.STATUS_MISDIRECTED:
+        return events.AttemptResult.WRONG_INSTANCE
+    if messages.find(response.headers, const.HEADER_NOT_RUN) is not None:
+        return events.AttemptResult.NOT_RUN
+    if messages.find(response.headers, const.HEADER_CONTENT_ENCODING) is not None:
+        return events.AttemptResult.MALFORMED
+    return events.AttemptResult.ANSWERED
+
+
+def load_report(response: messages.Response) -> events.LoadReport | None:
+    """Return the load that a response reports, if any."""
+    raw = messages.find(response.headers, const.HEADER_LOAD)
+    parts = [] if raw is None else raw.split(b',')
+    if len(parts) != _LOAD_FIELDS or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return events.LoadReport(running, waiting, slots)
+
+
+def relayed(response: messages.Response) -> messages.Response:
+    """Return a backend server's response as the caller gets it."""
+    headers = tuple(messages.end_to_end(response.headers))
+    return messages.Response(response.status, headers, response.body)
+
+
+def refusal(refuse: effects.Refuse) -> messages.Response:
+    """Return a response of this instance; its body names the reason."""
+    headers: list[messages.Header] = [(b'content-type', b'application/json')]
+    if refuse.retry_after_ms is not None:
+        seconds = str(round(refuse.retry_after_ms / _MS_PER_S, _MS_DIGITS))
+        headers.append((const.HEADER_RETRY_AFTER, seconds.encode()))
+    body = json.dumps({'error': refuse.reason}).encode()
+    return messages.Response(refuse.status, tuple(headers), body)
+
+
+def _text(request: messages.Request, name: bytes) -> str | None:
+    found = messages.find(request.headers, name)
+    return None if found is None else found.decode('latin-1').strip()
+
+
+def _host(raw: str) -> str:
+    name, separator, port = raw.rpartition(':')
+    return (name if separator and port.isdigit() else raw).lower()
+
+
+def _access_key(raw: str | None) -> str | None:
+    if raw is None or not raw.lower().startswith(const.KEY_SCHEME):
+        return None
+    return raw[len(const.KEY_SCHEME) :].strip()
+
+
+def _object_key(raw: str | None) -> str | None:
+    for pair in (raw or '').split(';'):
+        name, _, content = pair.strip().partition('=')
+        if name == const.COOKIE_OBJECT:
+            return urls.unquote(content)
+    return None
+
+
+def _deadline(raw: str | None) -> float | None:
+    return float(raw) if raw is not None and raw.isdigit() else None
+
+
+def _fingerprint(request: messages.Request) -> str:
+    content = b'\0'.join((request.method, request.target, request.body))
+    return hashlib.blake2b(content, digest_size=_FINGERPRINT_BYTES).hexdigest()
--- /dev/null
+++ b/rhubarbspar/platform/store.py
@@ -0,0 +1,183 @@
+"""Client of the platform's key-value store."""
+
+import base64
+import json
+import typing
+from collections import abc
+from urllib import parse as urls
+
+from twisted.internet import defer
+
+from rhubarbspar.gateway import events
+from rhubarbspar.helpers import durations
+from rhubarbspar.http1 import client
+from rhubarbspar.http1 import errors as http_errors
+from rhubarbspar.http1 import messages
+from rhubarbspar.platform import const
+from rhubarbspar.platform import errors
+
+# The store answers in a few milliseconds; over three times the slowest answer of a busy store.
+CALL_TIMEOUT_MS: typing.Final = 1500
+CONNECT_TIMEOUT_MS: typing.Final = 600
+IDLE_MAX_MS: typing.Final = 20_000
+_MS_PER_S: typing.Final = 1000
+
+
+class Store:
+    """Awaitable calls; all raise ``StoreError``.
+
+    Parameters
+    ----------
+    reactor
+        The reactor that the process runs.
+    address
+        ``host:port`` of the store.
+    clock_ms
+        Monotonic clock.
+    """
+
+    def __init__(
+        self, reactor: typing.Any, address: str, clock_ms: abc.Callable[[], float]
+    ) -> None:
+        """Open no connection yet."""
+        host, _, port = address.rpartition(':')
+        self._reactor = reactor
+        self._host = address.encode()
+        endpoint = client.Endpoint(host, int(port))
+        self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS)
+        self._calls: set[client.Call] = set()
+
+    async def read_all(self, prefix: str) -> tuple[tuple[events.RecordRead, ...], int]:
+        """Return all records below a prefix, and a revision at which none of them is newer missed."""
+        records: list[events.RecordRead] = []
+        first_revision: int | None = None
+        after = ''
+        while True:
+            query = {'pathPrefix': prefix, 'after': after} if after else {'pathPrefix': prefix}
+            answer = await self._exchange(b'GET', '/kv-range', query)
+            # Pages are no snapshot: changes since the first page are still to be watched.
+            first_revision = answer['at'] if first_revision is None else first_revision
+            records.extend(_record(row) for row in answer['items'])
+            if not answer.get('hasMore') or not records:
+                return tuple(records), first_revision
+            after = records[-1].key
+
+    async def watch(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> tuple[tuple[events.RecordRead, ...], int]:
+        """Wait for changes after a revision; return them and the revision to continue from.
+
+        Raises
+        ------
+        errors.CompactedError
+            If the store no longer has these changes.
+        """
+        query = {'pathPrefix': prefix, 'after': str(after), 'waitMs': str(wait_ms)}
+        timeout_ms = wait_ms + CALL_TIMEOUT_MS / 2
+        try:
+            answer = await self._exchange(b'GET', '/kv-watch', query, timeout_ms=timeout_ms)
+        except errors.StoreRejectedError as error:
+            if error.status == const.STATUS_COMPACTED:
+                raise errors.CompactedError(str(error)) from error
+            raise
+        return tuple(_record(row) for row in answer['events']), answer['at']
+
+    async def read(self, key: str) -> events.RecordRead | None:
+        """Return one record, or ``None`` if the key does not exist."""
+        try:
+            return _record(await self._exchange(b'GET', '/kv-key', {'key': key}))
+        except errors.StoreRejectedError as error:
+            if error.status == const.STATUS_NOT_FOUND:
+                return None
+            raise
+
+    async def put_if(self, key: str, content: bytes, revision: int | None, lease: int = 0) -> bool:
+        """Write a record if its key still has a revision; return whether it was written.
+
+        Parameters
+        ----------
+        revision
+            0 if the key must not exist, ``None`` for no condition.
+        """
+        put = {'key': key, 'value': base64.b64encode(content).decode(), 'lease': lease}
+        conditions = [] if revision is None else [{'key': key, 'revision': revision}]
+        body = {'expectedRevision': conditions, 'puts': [put], 'deleteKeys': []}
+        try:
+            await self._exchange(b'POST', '/kv-txn', {}, body)
+        except errors.StoreRejectedError as error:
+            if error.status == const.STATUS_CONFLICT:
+                return False
+            raise
+        return True
+
+    async def grant_lease(self, ttl_ms: float) -> int:
+        """Return a new lease."""
+        body = {'ttl_time': durations.write_ms(ttl_ms)}
+        answer = await self._exchange(b'POST', '/kv-lease', {}, body)
+        lease: int = answer['lease']
+        return lease
+
+    async def renew_lease(self, lease: int) -> bool:
+        """Renew a lease; return whether it still exists."""
+        try:
+            await self._exchange(b'POST', f'/kv-keep/{lease}', {})
+        except errors.StoreRejectedError as error:
+            if error.status == const.STATUS_NOT_FOUND:
+                return False
+            raise
+        return True
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and delete its records."""
+        await self._exchange(b'DELETE', f'/kv-lease-end/{lease}', {})
+
+    def reset(self) -> None:
+        """Close all connections; calls under way fail."""
+        self._pool.close()
+        for call in tuple(self._calls):
+            call.abort(http_errors.BrokenError('the connection to the store was reset'))
+
+    async def _exchange(
+        self,
+        method: bytes,
+        path: str,
+        query: dict[str, str],
+        body: typing.Any = None,
+        timeout_ms: float = CALL_TIMEOUT_MS,
+    ) -> typing.Any:
+        target = '?'.join((path, urls.urlencode(query))) if query else path
+        content = b'' if body is None else json.dumps(body).encode()
+        headers = ((b'host', self._host), (b'content-type', b'application/json'))
+        request = messages.Request(method, target.encode(), headers, content)
+        outcome = await self._send(request, timeout_ms)
+        if isinstance(outcome, http_errors.HttpError):
+            raise errors.StoreError(str(outcome)) from outcome
+        if outcome.status != const.STATUS_OK:
+            raise errors.StoreRejectedError(outcome.status)
+        try:
+            return json.loads(outcome.body) if outcome.body else None
+        except ValueError as error:
+            raise errors.StoreError('the answer is no JSON') from error
+
+    async def _send(self, request: messages.Request, timeout_ms: float) -> client.Outcome:
+        finished: defer.Deferred[client.Outcome] = defer.Deferred()
+        call = client.Call(request, finished.callback)
+        self._calls.add(call)
+        self._pool.start(call, CONNECT_TIMEOUT_MS)
+        timer = self._reactor.callLater(timeout_ms / _MS_PER_S, self._time_out, call)
+        outcome = await finished
+        self._calls.discard(call)
+        if timer.active():
+            timer.cancel()
+        return outcome
+
+    def _time_out(self, call: client.Call) -> None:
+        # The other kept connections may have gone silent as well.
+        self._pool.close()
+        call.abort(http_errors.BrokenError('the store did not answer in time'))
+
+
+def _record(row: dict[str, typing.Any]) -> events.RecordRead:
+    if row.get('tombstone'):
+        return events.RecordRead(row['key'], row['revision'], None)
+    return events.RecordRead(row['key'], row['revision'], base64.b64decode(row['value']))
--- a/rhubarbspar/server/metrics.py
+++ b/rhubarbspar/server/metrics.py
@@ -18,6 +18,13 @@
 )
 
 
+# Upper bounds of the latency histograms, milliseconds.
+LATENCY_BUCKETS_MS: typing.Final = (
+    *(25.0, 50.0, 100.0, 200.0, 400.0),
+    *(800.0, 1600.0, 3200.0, 6400.0, 12_800.0),
+)
+
+
 class Metrics:
     """Counters of one instance."""
 
@@ -26,6 +33,7 @@
         self._registry = collectors.Registry()
         self._labels = {'instance': instance_id}
         self._counters: dict[str, collectors.Counter] = {}
+        self._histograms: dict[str, collectors.Histogram] = {}
         for name in _DESCRIPTIONS:
             self._counters[name] = self._create(name)
 
@@ -37,6 +45,20 @@
             self._counters[effect.metric] = counter
         counter.inc({'reason': effect.reason})
 
+    def observe(self, metric: str, service_id: str, elapsed_ms: float) -> None:
+        """Add a duration to the histogram of a service."""
+        histogram = self._histograms.get(metric)
+        if histogram is None:
+            histogram = collectors.Histogram(
+                f'rhubarbspar_{metric}_ms',
+                'Durations by service in milliseconds.',
+                const_labels=self._labels,
+                registry=self._registry,
+                buckets=list(LATENCY_BUCKETS_MS),
+            )
+            self._histograms[metric] = histogram
+        histogram.observe({'service': service_id}, elapsed_ms)
+
     def render(self, accept: str) -> tuple[bytes, dict[str, typing.Any]]:
         """Return the exposition text and its HTTP headers."""
         body, http_headers = renderer.render(self._registry, [accept])
