Prefer servers of the own region that have an object at hand

Two choices over the whole fleet spread each object and sent it between regions.

Ruled out: number of visits alone; the time since the last one explains the difference.

Change: preferred servers are two of the own region and one elsewhere, and each instance remembers where it sent an object. Full and mean work of a route are learnt apart.

--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -7,6 +7,7 @@
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import admission
+from rhubarbspar.gateway import affinity
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import declarations
 from rhubarbspar.gateway import effects
@@ -131,8 +132,8 @@
 def _attempt(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> list[core_effects.Effect]:
-    conditions = _conditions(state, pending, now_ms)
     candidates = _candidates(state, pending, now_ms)
+    conditions = _conditions(state, pending, candidates, now_ms)
     choice = selection.choose(candidates, conditions)
     if choice is None:
         return _no_server(state, pending)
@@ -173,18 +174,41 @@
 
 
 def _conditions(
-    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    candidates: list[servers.ServerView],
+    now_ms: float,
 ) -> selection.Conditions:
-    route = pending.route
+    usual = outcomes.work_time(state, pending.route)
     return selection.Conditions(
         now_ms,
-        outcomes.usual_work_ms(state, route),
+        usual.full_ms,
+        usual.mean_ms,
         _usual_others(state, pending.service_id, now_ms),
         state.network.cost_ms,
-        pending.request.object_key if route.sticky else None,
+        _gains(state, pending, candidates, now_ms),
     )
 
 
+def _gains(
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    candidates: list[servers.ServerView],
+    now_ms: float,
+) -> dict[str, float]:
+    """Return the part of the work that each server is expected to save for the request's object."""
+    object_key = pending.request.object_key
+    if object_key is None or not pending.route.sticky:
+        return {}
+    gains = affinity.preferred(candidates, object_key, state.network.is_near)
+    for view in candidates:
+        server_id = view.server.server_id
+        recent = state.objects.gain(object_key, server_id, now_ms)
+        if recent:
+            gains[server_id] = max(recent, gains.get(server_id, 0))
+    return gains
+
+
 def _usual_others(state: gateway_state.State, service_id: str, now_ms: float) -> float:
     reports = [
         view.others
@@ -211,10 +235,13 @@
         view,
         now_ms,
         choice.expected_ms,
+        choice.gain,
         load >= view.slots,
         state.rollouts.subject(server, pending.route.route_id),
     )
     state.attempts[attempt.attempt] = attempt
+    if pending.request.object_key is not None:
+        state.objects.note(pending.request.object_key, server.server_id, now_ms)
     pending.current = attempt
     pending.tried.append(server.server_id)
     pending.sends += 1
@@ -239,7 +266,8 @@
         ('load', round(load, 1)),
         ('load_age_ms', _age(view.reported_ms, now_ms)),
         ('expected_ms', round(choice.expected_ms)),
-        ('affinity', choice.rank),
+        ('object', pending.request.object_key),
+        ('gain', round(choice.gain, 2)),
         ('attempt', pending.sends),
     )
     return [started, core_effects.Log('attempt_started', _of(pending.request, fields))]
--- a/rhubarbspar/gateway/driver.py
+++ b/rhubarbspar/gateway/driver.py
@@ -118,10 +118,9 @@
 
     def _refuse_failed(self, event: core_events.Event) -> None:
         """Answer a request whose handling failed before anything was sent."""
-        match event:
-            case events.RequestReceived(request):
-                status = const.STATUS_UNAVAILABLE
-                self._callers.refuse(effects.Refuse(request.number, status, 'internal_error'))
+        if isinstance(event, events.RequestReceived):
+            status = const.STATUS_UNAVAILABLE
+            self._callers.refuse(effects.Refuse(event.request.number, status, 'internal_error'))
 
     def _report_fault(self, name: str, subject: object, error: Exception) -> None:
         loguru.logger.opt(exception=error).error(
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -10,6 +10,7 @@
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import rollouts
+from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import state as gateway_state
 
 # Usual time of a route before any response, as a part of its latency objective.
@@ -34,8 +35,17 @@
 
 def usual_work_ms(state: gateway_state.State, route: models.Route) -> float:
     """Return the usual time of a route at a server without queue."""
-    default_ms = route.latency_objective_ms * DEFAULT_WORK_PART
-    return state.work.get(route.route_id, default_ms)
+    return work_time(state, route).full_ms
+
+
+def work_time(state: gateway_state.State, route: models.Route) -> selection.WorkTime:
+    """Return the usual times of a route; before any response they follow from its objective."""
+    known = state.work.get(route.route_id)
+    if known is None:
+        default_ms = route.latency_objective_ms * DEFAULT_WORK_PART
+        known = selection.WorkTime(default_ms, default_ms)
+        state.work[route.route_id] = known
+    return known
 
 
 def note(
@@ -126,9 +136,9 @@
     elapsed_ms = now_ms - attempt.started_ms
     round_trip_ms = state.network.round_trip_ms(attempt.view.server.failure_domain)
     work_ms = max(1.0, elapsed_ms - round_trip_ms)
-    usual_ms = usual_work_ms(state, route)
-    attempt.view.note_speed(work_ms / max(1.0, usual_ms))
-    state.work.note(route.route_id, work_ms, usual_ms)
+    usual = work_time(state, route)
+    attempt.view.note_speed(work_ms / max(1.0, usual.full_ms * (1 - attempt.gain)))
+    usual.note(work_ms, attempt.gain)
 
 
 def _suspect(state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float) -> None:
--- a/rhubarbspar/gateway/selection.py
+++ b/rhubarbspar/gateway/selection.py
@@ -1,7 +1,7 @@
 """Choice of the backend server for a request.
 
-Patterns: shortest expected delay over estimated load, with rendezvous hashing for requests that concern
-the same object (Thaler and Ravishankar, 1998) and spill-over by load.
+Pattern: shortest expected delay over estimated load, with the work that a server saves for an object that it
+has at hand.
 """
 
 import dataclasses
@@ -10,10 +10,7 @@
 from collections import abc
 
 from rhubarbspar.gateway import servers
-from rhubarbspar.helpers import rendezvous
 
-# Part of the usual work that a server saves that handles an object regularly: first and second choice.
-AFFINITY_GAINS: typing.Final = (0.4, 0.3)
 # Requests that fit into a slot still slow each other; part of the work at full slots.
 CROWDING: typing.Final = 0.15
 # A failed attempt costs about this many times the usual work: the loss and the second try.
@@ -29,29 +26,32 @@
     Attributes
     ----------
     work_ms
-        Usual time of the route at a server without queue.
+        Usual time of the route at a server without queue that does not have the object at hand.
+    mean_ms
+        Average time of all requests of the route, for those that wait before this one.
     usual_others
         Requests of other instances that a server of the service usually has.
     network_ms
         Round trip to each failure domain, with the price of distance.
-    object_key
-        Object of a sticky route, if any.
+    gains
+        Part of the work that each server is expected to save; 0 for others.
     """
 
     now_ms: float
     work_ms: float
+    mean_ms: float
     usual_others: float
     network_ms: abc.Callable[[str], float]
-    object_key: str | None = None
+    gains: abc.Mapping[str, float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """A server and the time after which its response is expected."""
+    """A server, the time after which its response is expected, and the gain expected of it."""
 
     view: servers.ServerView
     expected_ms: float
-    rank: int | None
+    gain: float
 
 
 def choose(candidates: abc.Sequence[servers.ServerView], conditions: Conditions) -> Choice | None:
@@ -61,25 +61,23 @@
     alive = [view for view in usable if view.ejected_until_ms <= now_ms]
     # With every server ejected, the one that failed longest ago is the best guess.
     considered = alive or sorted(usable, key=lambda view: view.ejected_until_ms)[:1]
-    preferred = _preferred(candidates, conditions.object_key)
     best: Choice | None = None
     for view in considered:
-        rank = preferred.get(view.server.server_id)
-        choice = Choice(view, expected_ms(view, conditions, rank), rank)
+        gain = conditions.gains.get(view.server.server_id, 0)
+        choice = Choice(view, expected_ms(view, conditions, gain), gain)
         if best is None or choice.expected_ms < best.expected_ms:
             best = choice
     return best
 
 
-def expected_ms(view: servers.ServerView, conditions: Conditions, rank: int | None) -> float:
+def expected_ms(view: servers.ServerView, conditions: Conditions, gain: float) -> float:
     """Return the time after which a server's response is expected, with the cost of failures."""
     now_ms = conditions.now_ms
     load = view.load_at(now_ms, conditions.usual_others)
     work_ms = conditions.work_ms * view.speed
     if view.is_cold(now_ms):
         work_ms *= COLD_FACTOR
-    gain = 0.0 if rank is None else AFFINITY_GAINS[rank]
-    wait_ms = max(0, load - view.slots + 1) * work_ms / view.slots
+    wait_ms = max(0, load - view.slots + 1) * conditions.mean_ms * view.speed / view.slots
     crowding_ms = CROWDING * work_ms * min(1, load / view.slots)
     failing_ms = view.failure_share_at(now_ms) * FAILURE_COST * conditions.work_ms
     return (
@@ -91,30 +89,25 @@
     )
 
 
-def _preferred(
-    candidates: abc.Sequence[servers.ServerView], object_key: str | None
-) -> dict[str, int]:
-    if object_key is None:
-        return {}
-    server_ids = [view.server.server_id for view in candidates]
-    chosen = rendezvous.rank(object_key, server_ids)[: len(AFFINITY_GAINS)]
-    return {server_id: rank for rank, server_id in enumerate(chosen)}
-
-
 @dataclasses.dataclass(slots=True)
-class WorkTimes:
-    """Usual time of each route at a server without queue, in milliseconds."""
+class WorkTime:
+    """Usual time of a route at a server without queue, milliseconds.
 
-    by_route: dict[str, float] = dataclasses.field(default_factory=dict)
+    Attributes
+    ----------
+    full_ms
+        Without the object at hand.
+    mean_ms
+        Average over all requests.
+    """
 
-    def get(self, route_id: str, default_ms: float) -> float:
-        """Return the usual time of a route."""
-        return self.by_route.get(route_id, default_ms)
+    full_ms: float
+    mean_ms: float
 
-    def note(self, route_id: str, elapsed_ms: float, default_ms: float) -> None:
+    def note(self, elapsed_ms: float, gain: float) -> None:
         """Average a response that met no queue."""
-        known = self.by_route.get(route_id, default_ms)
-        self.by_route[route_id] = known + (elapsed_ms - known) * WORK_WEIGHT
+        self.mean_ms += (elapsed_ms - self.mean_ms) * WORK_WEIGHT
+        self.full_ms += (elapsed_ms / (1 - gain) - self.full_ms) * WORK_WEIGHT
 
 
 # Weight of the newest response in the usual time of a route.
@@ -147,6 +140,10 @@
             return SAME_REGION_MS
         return OTHER_REGION_MS
 
+    def is_near(self, failure_domain: str) -> bool:
+        """Return whether a failure domain lies in the own region."""
+        return self.regions.get(failure_domain) == self.region
+
     def cost_ms(self, failure_domain: str) -> float:
         """Return the round trip with the price of bytes between places."""
         price_ms = 0.0
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -5,6 +5,7 @@
 import typing
 from collections import abc
 
+from rhubarbspar.gateway import affinity
 from rhubarbspar.gateway import budget as retry_budget
 from rhubarbspar.gateway import crashes as crash_register
 from rhubarbspar.gateway import fleet as gateway_fleet
@@ -44,6 +45,7 @@
     view: server_views.ServerView
     started_ms: float
     expected_ms: float
+    gain: float
     waited: bool
     subject: rollout_state.Subject | None
 
@@ -108,7 +110,8 @@
     mirror: store_mirror.Mirror = dataclasses.field(default_factory=store_mirror.Mirror)
     declared: Declared = dataclasses.field(default_factory=Declared)
     servers: server_views.Servers = dataclasses.field(default_factory=server_views.Servers)
-    work: selection.WorkTimes = dataclasses.field(default_factory=selection.WorkTimes)
+    work: dict[str, selection.WorkTime] = dataclasses.field(default_factory=dict)
+    objects: affinity.ObjectMemory = dataclasses.field(default_factory=affinity.ObjectMemory)
     quotas: account_quotas.Quotas = dataclasses.field(default_factory=account_quotas.Quotas)
     crashes: crash_register.CrashRegister = dataclasses.field(
         default_factory=crash_register.CrashRegister
--- /dev/null
+++ b/tests/gateway/test_affinity.py
@@ -0,0 +1,61 @@
+"""Which servers are expected to have an object at hand."""
+
+from rhubarbspar.gateway import affinity
+from rhubarbspar.gateway import servers
+from tests.gateway import conftest
+
+
+def views():
+    """Return servers in two regions."""
+    domains = ['near-a', 'near-b', 'near-a', 'near-b', 'far-a', 'far-b']
+    return [
+        servers.ServerView(conftest.make_server(f's{number}', failure_domain=domain), 0)
+        for number, domain in enumerate(domains)
+    ]
+
+
+def is_near(failure_domain):
+    """Return whether a failure domain lies in the own region."""
+    return failure_domain.startswith('near')
+
+
+def test_instances_of_a_region_prefer_the_same_servers():
+    """Guards against objects that every instance sends elsewhere; rendezvous hashing."""
+    forward = affinity.preferred(views(), '7', is_near)
+    assert forward == affinity.preferred(views()[::-1], '7', is_near)
+    assert sorted(forward.values(), reverse=True) == [0.5, 0.4, 0.3]
+
+
+def test_own_region_comes_first():
+    """Guards against bytes between regions for objects that are asked for in one region."""
+    by_domain = {view.server.server_id: view.server.failure_domain for view in views()}
+    gains = affinity.preferred(views(), '7', is_near)
+    nearest = sorted(gains, key=gains.__getitem__, reverse=True)[:2]
+    assert all(is_near(by_domain[server_id]) for server_id in nearest)
+
+
+def test_objects_spread_over_the_servers():
+    """Guards against a server that all objects prefer."""
+    first = set()
+    for number in range(40):
+        gains = affinity.preferred(views(), str(number), is_near)
+        first.add(max(gains, key=gains.__getitem__))
+    assert first == {'s0', 's1', 's2', 's3'}
+
+
+def test_recent_request_counts_and_is_forgotten():
+    """Guards against sending an object back to a server that has lost it."""
+    memory = affinity.ObjectMemory()
+    memory.note('7', 's0', 0)
+    assert memory.gain('7', 's0', 1000) == affinity.RECENT_GAIN
+    assert 0 < memory.gain('7', 's0', 7000) < affinity.RECENT_GAIN
+    assert memory.gain('7', 's0', 20_000) == 0
+    assert memory.gain('8', 's0', 0) == 0
+
+
+def test_memory_is_bounded():
+    """Guards against memory that grows with the number of objects."""
+    memory = affinity.ObjectMemory()
+    for number in range(affinity.MEMORY_MAX + 10):
+        memory.note(str(number), 's0', number)
+    assert len(memory.sent_ms) == affinity.MEMORY_MAX
