Bound shifts between regions; tests of the adapter and the HTTP connections

Change: the recent share of a region above its longer average costs time in the choice. The size of a request's head is counted from its own bytes.

--- a/rhubarbspar/gateway/affinity.py
+++ b/rhubarbspar/gateway/affinity.py
@@ -18,9 +18,9 @@
 # A server forgets an object gradually; after this time nothing is left.
 FORGOTTEN_MS: typing.Final = 10_000
 # The same for the preferred servers of an object, to which the other instances send it too.
-PREFERRED_GAINS: typing.Final = (0.5, 0.4)
+PREFERRED_GAINS: typing.Final = (0.5, 0.25)
 # Preferred server in the other regions, for times when the own region is full.
-FAR_GAIN: typing.Final = 0.3
+FAR_GAIN: typing.Final = 0.2
 MEMORY_MAX: typing.Final = 20_000
 
 
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -3,6 +3,7 @@
 Patterns: deadline propagation, bounded retries on proof that nothing ran, cancellation.
 """
 
+import functools
 import typing
 
 from rhubarbspar.core import effects as core_effects
@@ -185,11 +186,17 @@
         usual.full_ms,
         usual.mean_ms,
         _usual_others(state, pending.service_id, now_ms),
-        state.network.cost_ms,
+        functools.partial(_distance_ms, state, usual.full_ms),
         _gains(state, pending, candidates, now_ms),
     )
 
 
+def _distance_ms(state: gateway_state.State, work_ms: float, failure_domain: str) -> float:
+    """Return the cost of the way to a failure domain, with that of a shift between regions."""
+    region = state.network.regions.get(failure_domain, '')
+    return state.network.cost_ms(failure_domain) + state.shares.cost(region) * work_ms
+
+
 def _gains(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
@@ -203,7 +210,7 @@
     gains = affinity.preferred(candidates, object_key, state.network.is_near)
     for view in candidates:
         server_id = view.server.server_id
-        recent = state.objects.gain(object_key, server_id, now_ms)
+        recent = state.object_memory.gain(object_key, server_id, now_ms)
         if recent:
             gains[server_id] = max(recent, gains.get(server_id, 0))
     return gains
@@ -241,11 +248,12 @@
     )
     state.attempts[attempt.attempt] = attempt
     if pending.request.object_key is not None:
-        state.objects.note(pending.request.object_key, server.server_id, now_ms)
+        state.object_memory.note(pending.request.object_key, server.server_id, now_ms)
     pending.current = attempt
     pending.tried.append(server.server_id)
     pending.sends += 1
     view.running += 1
+    state.shares.note(state.network.regions.get(server.failure_domain, ''), now_ms)
     if view.is_cold(now_ms):
         view.pace(now_ms, declarations.cold_interval_ms(state, server.service_id, now_ms))
     state.rollouts.note_sent(attempt.subject, now_ms)
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -15,6 +15,7 @@
 from rhubarbspar.gateway import rollouts as rollout_state
 from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import servers as server_views
+from rhubarbspar.gateway import shifts
 
 Record: typing.TypeAlias = (
     models.Configuration
@@ -111,7 +112,8 @@
     declared: Declared = dataclasses.field(default_factory=Declared)
     servers: server_views.Servers = dataclasses.field(default_factory=server_views.Servers)
     work: dict[str, selection.WorkTime] = dataclasses.field(default_factory=dict)
-    objects: affinity.ObjectMemory = dataclasses.field(default_factory=affinity.ObjectMemory)
+    shares: shifts.RegionShares = dataclasses.field(default_factory=shifts.RegionShares)
+    object_memory: affinity.ObjectMemory = dataclasses.field(default_factory=affinity.ObjectMemory)
     quotas: account_quotas.Quotas = dataclasses.field(default_factory=account_quotas.Quotas)
     crashes: crash_register.CrashRegister = dataclasses.field(
         default_factory=crash_register.CrashRegister
--- a/rhubarbspar/http1/client.py
+++ b/rhubarbspar/http1/client.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import re
-import socket
 import typing
 from collections import abc
 
@@ -14,6 +13,7 @@
 from rhubarbspar.http1 import const
 from rhubarbspar.http1 import errors
 from rhubarbspar.http1 import messages
+from rhubarbspar.http1 import transports
 
 Outcome: typing.TypeAlias = messages.Response | errors.HttpError
 _TIMEOUT_PARAMETER: typing.Final = re.compile(rb'timeout=(\d+)')
@@ -158,11 +158,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the first request."""
-        transport: typing.Any = self.transport
-        transport.setTcpNoDelay(True)
-        transport.socket.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, const.TCP_USER_TIMEOUT_MS
-        )
+        transports.set_options(self.transport)
         call = self._call
         if call is None or call.done:
             self.abort()
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import socket
 import typing
 from collections import abc
 
@@ -14,6 +13,7 @@
 
 from rhubarbspar.http1 import const
 from rhubarbspar.http1 import messages
+from rhubarbspar.http1 import transports
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,16 +105,13 @@
         self._pending: collections.deque[Exchange] = collections.deque()
         self._message = _Incoming()
         self._last_active_ms = site.clock_ms()
+        self._completed_in_chunk = False
         self._ending = False
         self._paused = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection."""
-        transport: typing.Any = self.transport
-        transport.setTcpNoDelay(True)
-        transport.socket.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, const.TCP_USER_TIMEOUT_MS
-        )
+        transports.set_options(self.transport)
         self._site.channels.add(self)
 
     def connectionLost(  # noqa: N802
@@ -142,12 +139,15 @@
         if self._ending:
             return
         self._last_active_ms = self._site.clock_ms()
-        self._message.size_bytes += len(chunk)
+        self._completed_in_chunk = False
         try:
             self._parser.feed_data(chunk)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse(const.STATUS_BAD_REQUEST)
             return
+        if not self._completed_in_chunk:
+            # A chunk that also ends an earlier message says little of the size of the next one.
+            self._message.size_bytes += len(chunk)
         self._check_size()
 
     def check_time(self, now_ms: float) -> None:
@@ -215,6 +215,7 @@
         """Deliver the request."""
         message = self._message
         self._message = _Incoming()
+        self._completed_in_chunk = True
         if self._ending or message.size_refused:
             return
         request = messages.Request(
--- a/tests/gateway/test_affinity.py
+++ b/tests/gateway/test_affinity.py
@@ -23,7 +23,7 @@
     """Guards against objects that every instance sends elsewhere; rendezvous hashing."""
     forward = affinity.preferred(views(), '7', is_near)
     assert forward == affinity.preferred(views()[::-1], '7', is_near)
-    assert sorted(forward.values(), reverse=True) == [0.5, 0.4, 0.3]
+    assert sorted(forward.values(), reverse=True) == [*affinity.PREFERRED_GAINS, affinity.FAR_GAIN]
 
 
 def test_own_region_comes_first():
--- /dev/null
+++ b/tests/gateway/test_shifts.py
@@ -0,0 +1,38 @@
+"""Bounded changes of the regions in which requests run."""
+
+from rhubarbspar.gateway import shifts
+
+
+def feed(shares, regions, start_ms, count=400):
+    """Send 40 requests a second to the regions in turn; return the time after them."""
+    now_ms = start_ms
+    for number in range(count):
+        now_ms += 25
+        shares.note(regions[number % len(regions)], now_ms)
+    return now_ms
+
+
+def test_steady_shares_cost_nothing():
+    """Guards against a limit that works without a shift; rate-limited traffic shift."""
+    shares = shifts.RegionShares()
+    feed(shares, ['near', 'near', 'far'], 0)
+    assert shares.cost('near') == 0
+    assert shares.cost('far') == 0
+
+
+def test_sudden_shift_becomes_costly_and_then_normal():
+    """Guards against a region that takes over another's requests within two seconds."""
+    shares = shifts.RegionShares()
+    now_ms = feed(shares, ['near'], 0)
+    now_ms = feed(shares, ['far'], now_ms, count=40)
+    assert shares.cost('far') > 1
+    assert shares.cost('near') == 0
+    feed(shares, ['far'], now_ms, count=800)
+    assert shares.cost('far') == 0
+
+
+def test_few_requests_say_nothing():
+    """Guards against a limit that a handful of requests trigger."""
+    shares = shifts.RegionShares()
+    shares.note('far', 0)
+    assert shares.cost('far') == 0
--- /dev/null
+++ b/tests/http1/test_client.py
@@ -0,0 +1,149 @@
+"""Connections to servers."""
+
+import pytest
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+
+from rhubarbspar.http1 import client
+from rhubarbspar.http1 import errors
+from rhubarbspar.http1 import messages
+from tests.http1 import conftest
+
+REQUEST = messages.Request(b'GET', b'/', ((b'host', b'h'),))
+ECHO = (b'x-id', b'1')
+
+
+class Opened:
+    """A pool whose connections are in memory."""
+
+    def __init__(self):
+        """Open nothing yet."""
+        self.clock = testing.MemoryReactorClock()
+        self.now_ms = 0.0
+        self.outcomes = []
+        self.pool = client.Pool(
+            self.clock, client.Endpoint('10.0.0.1', 80), lambda: self.now_ms, 5000
+        )
+        self.connections = []
+
+    def start(self, echo=None):
+        """Start a call; open its connection if it needs one."""
+        call = client.Call(REQUEST, self.outcomes.append, echo)
+        self.pool.start(call, 300)
+        while len(self.clock.tcpClients) > len(self.connections):
+            factory = self.clock.tcpClients[len(self.connections)][2]
+            connection = factory.buildProtocol(None)
+            connection.makeConnection(conftest.Transport(self.clock))
+            self.connections.append(connection)
+        return call
+
+    def lose(self, reason):
+        """End the last connection."""
+        self.connections[-1].connectionLost(failure.Failure(reason))
+
+
+@pytest.fixture
+def opened():
+    """Return a pool without connections."""
+    return Opened()
+
+
+def test_response_is_reported_and_the_connection_kept(opened):
+    """Guards against a new connection for each request."""
+    opened.start()
+    opened.connections[0].dataReceived(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi')
+    assert opened.outcomes[0].body == b'hi'
+    assert opened.start().reused
+    assert len(opened.connections) == 1
+
+
+def test_connection_is_not_used_beyond_its_idle_limit(opened):
+    """Guards against a request on a connection that the server is closing."""
+    opened.start()
+    opened.connections[0].dataReceived(
+        b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=3\r\nContent-Length: 0\r\n\r\n'
+    )
+    opened.now_ms = 2500
+    assert not opened.start().reused
+
+
+def test_closing_response_ends_the_connection(opened):
+    """Guards against a second request on a connection that ends."""
+    opened.start()
+    opened.connections[0].dataReceived(
+        b'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
+    )
+    assert opened.connections[0].transport.aborted
+    assert not opened.start().reused
+
+
+def test_truncated_response_is_no_response(opened):
+    """Guards against an incomplete body that looks complete."""
+    opened.start()
+    opened.connections[0].dataReceived(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi')
+    opened.lose(error.ConnectionDone())
+    assert isinstance(opened.outcomes[0], errors.BrokenError)
+
+
+def test_response_without_length_ends_with_its_connection(opened):
+    """Guards against waiting for a length that never comes."""
+    opened.start()
+    opened.connections[0].dataReceived(b'HTTP/1.1 200 OK\r\n\r\npart')
+    assert not opened.outcomes
+    opened.lose(error.ConnectionDone())
+    assert opened.outcomes[0].body == b'part'
+
+
+def test_reset_ends_a_response_without_length_as_broken(opened):
+    """Guards against an incomplete body that looks complete."""
+    opened.start()
+    opened.connections[0].dataReceived(b'HTTP/1.1 200 OK\r\n\r\npart')
+    opened.lose(error.ConnectionLost())
+    assert isinstance(opened.outcomes[0], errors.BrokenError)
+
+
+def test_bytes_that_are_no_response_are_malformed(opened):
+    """Guards against bytes that a caller would take for a response."""
+    opened.start()
+    opened.connections[0].dataReceived(b'\x00\x01garbage\r\n\r\n')
+    assert isinstance(opened.outcomes[0], errors.MalformedError)
+    assert opened.connections[0].transport.aborted
+
+
+def test_second_response_ends_the_connection(opened):
+    """Guards against extra bytes that are taken for the next request's response."""
+    opened.start()
+    one = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na'
+    opened.connections[0].dataReceived(one + one)
+    assert len(opened.outcomes) == 1
+    assert opened.connections[0].transport.aborted
+    assert not opened.start().reused
+
+
+def test_late_response_to_another_request_is_skipped(opened):
+    """Guards against a caller that gets the response to another request."""
+    opened.start(ECHO)
+    answer = b'HTTP/1.1 200 OK\r\nX-Id: %d\r\nContent-Length: 1\r\n\r\n%d'
+    opened.connections[0].dataReceived(answer % (7, 7))
+    assert not opened.outcomes
+    opened.connections[0].dataReceived(answer % (1, 1))
+    assert opened.outcomes[0].body == b'1'
+
+
+def test_refused_connection_means_that_nothing_was_sent(opened):
+    """Guards against an order that is not sent elsewhere although nothing has run."""
+    call = client.Call(REQUEST, opened.outcomes.append)
+    opened.pool.start(call, 300)
+    factory = opened.clock.tcpClients[0][2]
+    factory.clientConnectionFailed(None, failure.Failure(error.ConnectionRefusedError()))
+    assert isinstance(opened.outcomes[0], errors.ConnectError)
+
+
+def test_cancelled_call_closes_its_connection_and_reports_nothing(opened):
+    """Guards against a server that works on for a caller that has left."""
+    call = opened.start()
+    call.cancel()
+    assert opened.connections[0].transport.aborted
+    opened.lose(error.ConnectionAborted())
+    assert not opened.outcomes
--- /dev/null
+++ b/tests/http1/test_messages.py
@@ -0,0 +1,26 @@
+"""Serialization of HTTP messages."""
+
+from rhubarbspar.http1 import messages
+
+
+def test_headers_of_one_connection_are_dropped():
+    """Guards against headers that concern another connection."""
+    headers = (
+        (b'connection', b'keep-alive, x-private'),
+        (b'keep-alive', b'timeout=3'),
+        (b'x-private', b'1'),
+        (b'x-kept', b'2'),
+    )
+    assert messages.end_to_end(headers) == [(b'x-kept', b'2')]
+
+
+def test_body_is_sent_with_its_length():
+    """Guards against a request whose framing differs from its body."""
+    request = messages.Request(b'POST', b'/', ((b'content-length', b'99'),), b'abc')
+    assert messages.serialize_request(request) == b'POST / HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc'
+
+
+def test_unknown_status_has_a_phrase():
+    """Guards against an error for a status that no standard names."""
+    sent = messages.serialize_response(messages.Response(599), to_head=False, close=True)
+    assert sent.startswith(b'HTTP/1.1 599 Unknown\r\n')
--- /dev/null
+++ b/tests/http1/test_server.py
@@ -0,0 +1,125 @@
+"""Connections of clients."""
+
+import pytest
+from twisted.internet import error
+from twisted.python import failure
+
+from rhubarbspar.http1 import messages
+
+GET = b'GET /%d HTTP/1.1\r\nHost: a\r\n\r\n'
+OK = messages.Response(200, ((b'x-name', b'value'),), b'body')
+
+
+def test_request_is_delivered_and_answered(served):
+    """Guards against a connection that loses or changes a request."""
+    served.receive(b'POST /a?b HTTP/1.1\r\nHost: h\r\nX-Name: V\r\nContent-Length: 3\r\n\r\nabc')
+    request = served.exchanges[0].request
+    assert (request.method, request.target, request.body) == (b'POST', b'/a?b', b'abc')
+    assert messages.find(request.headers, b'x-name') == b'V'
+    served.exchanges[0].respond(OK)
+    assert served.sent == b'HTTP/1.1 200 OK\r\nx-name: value\r\ncontent-length: 4\r\n\r\nbody'
+
+
+def test_chunked_body_is_joined(served):
+    """Guards against a request that is passed on without its body."""
+    served.receive(
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n'
+    )
+    assert served.exchanges[0].request.body == b'abc'
+
+
+def test_pipelined_requests_are_worked_on_together_and_answered_in_order(served):
+    """Guards against responses that belong to another request."""
+    served.receive(GET % 1 + GET % 2)
+    first, second = served.exchanges
+    second.respond(messages.Response(200, body=b'second'))
+    assert not served.sent
+    first.respond(messages.Response(200, body=b'first'))
+    assert served.sent.index(b'first') < served.sent.index(b'second')
+
+
+def test_requests_behind_a_closing_response_are_abandoned(served):
+    """Guards against work for requests that the client sends again elsewhere."""
+    served.receive(GET % 1 + GET % 2)
+    abandoned = []
+    served.exchanges[1].abandoned = lambda: abandoned.append(2)
+    served.exchanges[0].respond(messages.Response(200, keep_alive=False))
+    assert b'connection: close' in served.sent
+    assert abandoned == [2]
+    assert served.transport.write_ended
+
+
+def test_client_that_leaves_is_noticed(served):
+    """Guards against work for nobody."""
+    served.receive(GET % 1)
+    left = []
+    served.exchanges[0].abandoned = lambda: left.append(1)
+    served.channel.connectionLost(failure.Failure(error.ConnectionLost()))
+    assert left == [1]
+    served.exchanges[0].respond(OK)
+    assert not served.sent
+
+
+@pytest.mark.parametrize(
+    ('chunk', 'status'),
+    [
+        (b'no request\r\n\r\n', b'400'),
+        (b'GET / HTTP/1.1\r\nX: ' + b'a' * 1100, b'431'),
+        (b'POST / HTTP/1.1\r\nContent-Length: 500\r\n\r\n' + b'a' * 200, b'413'),
+        (b'POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n', b'400'),
+        (b'POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n', b'400'),
+    ],
+)
+def test_unacceptable_requests_are_refused(served, chunk, status):
+    """Guards against smuggled requests and clients that send too much."""
+    served.receive(chunk)
+    assert served.sent.startswith(b'HTTP/1.1 ' + status)
+    assert not served.exchanges
+
+
+def test_slow_head_is_timed_out(served):
+    """Guards against connections that are held by clients that send nothing."""
+    served.receive(b'GET / HT')
+    served.now_ms = 2900
+    served.site.sweep()
+    assert not served.sent
+    served.now_ms = 3100
+    served.site.sweep()
+    assert served.sent.startswith(b'HTTP/1.1 408')
+
+
+def test_idle_connection_ends_only_after_its_limit(served):
+    """Guards against closing a connection that the client is about to use."""
+    served.receive(GET % 1)
+    served.exchanges[0].respond(OK)
+    served.now_ms = 14_000
+    served.site.sweep()
+    assert not served.transport.write_ended
+    served.now_ms = 15_100
+    served.site.sweep()
+    assert served.transport.write_ended
+
+
+def test_waiting_request_keeps_its_connection(served):
+    """Guards against cutting a request that takes longer than the idle limit."""
+    served.receive(GET % 1)
+    served.now_ms = 60_000
+    served.site.sweep()
+    served.site.close_idle()
+    assert not served.transport.write_ended
+
+
+def test_stopping_site_closes_behind_each_response(served):
+    """Guards against clients that stay on an instance that leaves."""
+    served.receive(GET % 1)
+    served.site.closing = True
+    served.exchanges[0].respond(OK)
+    assert b'connection: close' in served.sent
+
+
+def test_head_has_a_length_and_no_body(served):
+    """Guards against a body that the client takes for the next response."""
+    served.receive(b'HEAD / HTTP/1.1\r\n\r\n')
+    response = messages.Response(200, ((b'content-length', b'99'),))
+    served.exchanges[0].respond(response)
+    assert served.sent == b'HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n'
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,155 @@
+"""Stand-in for the platform's key-value store, for the tests of the adapter."""
+
+import base64
+import dataclasses
+import json
+from urllib import parse as urls
+
+from rhubarbspar.http1 import messages
+from rhubarbspar.http1 import server
+from rhubarbspar.standins import errors
+from rhubarbspar.standins import store_model
+
+EVERYTHING = (b'\x00', store_model.NO_END)
+PAGE_ITEMS = 3
+
+
+@dataclasses.dataclass
+class _Watch:
+    exchange: server.Exchange
+    after: int
+
+
+class Store:
+    """Answers calls on a port; ``silent`` keeps answers back, ``status`` replaces them."""
+
+    def __init__(self, reactor):
+        """Start empty."""
+        self.database = store_model.Database()
+        self.silent = False
+        self.status = None
+        self.lose_answers = False
+        self._reactor = reactor
+        self._watches = []
+        limits = server.Limits(16_384, 1_048_576, 3000, 15_000)
+        site = server.Site(self._receive, lambda: limits, lambda: 0.0)
+        self._listener = reactor.listenTCP(0, site, interface='127.0.0.1')
+        self.address = f'127.0.0.1:{self._listener.getHost().port}'
+        self._site = site
+
+    def close(self):
+        """Stop listening and close the connections."""
+        for channel in tuple(self._site.channels):
+            channel.transport.abortConnection()
+        return self._listener.stopListening()
+
+    def put(self, key, content):
+        """Write a record as the operator or a backend server does."""
+        self._write([store_model.Put(key.encode(), content, 0)])
+
+    def delete(self, key):
+        """Delete a record."""
+        self._write([store_model.Delete((key.encode(), b''))])
+
+    def _write(self, operations):
+        self.database.write(operations, self._reactor.seconds())
+        waiting = self._watches
+        self._watches = []
+        for watch in waiting:
+            self._answer_watch(watch)
+
+    def _receive(self, exchange):
+        if self.silent:
+            return
+        if self.status is not None:
+            exchange.respond(messages.Response(self.status))
+            return
+        parts = urls.urlsplit(exchange.request.target.decode())
+        query = {name: found[0] for name, found in urls.parse_qs(parts.query).items()}
+        body = json.loads(exchange.request.body or b'null')
+        if parts.path == '/kv-watch':
+            self._answer_watch(_Watch(exchange, int(query['after'])))
+            return
+        answer = self._call(parts.path, query, body)
+        if not self.lose_answers:
+            exchange.respond(answer)
+
+    def _call(self, path, query, body):
+        now_s = self._reactor.seconds()
+        match path.split('/')[1:]:
+            case ['kv-key']:
+                found = self.database.read((query['key'].encode(), b''))
+                return self._json(self._item(found[0])) if found else _status(404)
+            case ['kv-range']:
+                return self._range(query)
+            case ['kv-txn']:
+                return self._transact(body)
+            case ['kv-lease']:
+                lease = self.database.grant(int(body['ttl_time'][:-2]) / 1000, now_s)
+                return self._json({'lease': lease.lease_id, 'ttl_time': body['ttl_time']})
+            case ['kv-keep', lease_id]:
+                renewed = self.database.renew(int(lease_id), now_s)
+                return _status(404) if renewed is None else self._json({})
+            case ['kv-lease-end', lease_id]:
+                self.database.revoke(int(lease_id))
+                return _status(200)
+        return _status(400)
+
+    def _range(self, query):
+        start = query.get('after', '')
+        found = [
+            record
+            for record in self.database.read(EVERYTHING)
+            if record.key.decode() > start
+            and record.key.decode().startswith(query.get('pathPrefix', ''))
+        ]
+        items = [self._item(record) for record in found[:PAGE_ITEMS]]
+        return self._json({'items': items, 'hasMore': len(found) > PAGE_ITEMS})
+
+    def _transact(self, body):
+        for condition in body['expectedRevision']:
+            if self.database.mod_revision(condition['key'].encode()) != condition['revision']:
+                return _status(412)
+        puts = [
+            store_model.Put(put['key'].encode(), base64.b64decode(put['value']), put['lease'])
+            for put in body['puts']
+        ]
+        try:
+            self._write(puts)
+        except errors.StoreCallError:
+            return _status(404)
+        return self._json({'revision': self.database.revision})
+
+    def _answer_watch(self, watch):
+        if watch.after < self.database.compacted_revision:
+            watch.exchange.respond(_status(410))
+            return
+        changes = self.database.changes_since(watch.after + 1, EVERYTHING)
+        if changes:
+            events = [self._item(record) for record in changes]
+            watch.exchange.respond(self._json({'events': events}))
+        else:
+            self._watches.append(watch)
+
+    def _item(self, record):
+        if not record.version:
+            return {
+                'key': record.key.decode(),
+                'revision': record.mod_revision,
+                'tombstone': True,
+            }
+        return {
+            'key': record.key.decode(),
+            'value': base64.b64encode(record.body).decode(),
+            'revision': record.mod_revision,
+            'createRevision': record.create_revision,
+            'lease': record.lease_id,
+        }
+
+    def _json(self, document):
+        content = json.dumps({**document, 'at': self.database.revision}).encode()
+        return messages.Response(200, (), content)
+
+
+def _status(status):
+    return messages.Response(status)
