Refuse behind standing queues and price work under load

Change: work is priced by the load per slot of the service; a request is refused before it is sent if its server's queue has been standing for 400 ms and would make it late. Slow work without a queue is never refused.

--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -15,6 +15,7 @@
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import outcomes
+from rhubarbspar.gateway import overload
 from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
@@ -133,14 +134,31 @@
 def _attempt(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> list[core_effects.Effect]:
+    if not state.shares.longer.total:
+        state.shares.seed(_region_slots(state), state.network.region, now_ms)
     candidates = _candidates(state, pending, now_ms)
     conditions = _conditions(state, pending, candidates, now_ms)
     choice = selection.choose(candidates, conditions)
     if choice is None:
         return _no_server(state, pending)
+    if _is_overloaded(pending, choice, now_ms):
+        state.pending.pop(pending.request.number)
+        return _unserved(state, pending, const.REASON_OVERLOADED)
     return _start(state, pending, choice, conditions, now_ms)
 
 
+def _is_overloaded(
+    pending: gateway_state.PendingRequest, choice: selection.Choice, now_ms: float
+) -> bool:
+    """Return whether a request that was sent nowhere yet is refused because of a standing queue."""
+    if pending.sends:
+        return False
+    work_ms = choice.expected_ms - choice.wait_ms
+    objective_ms = pending.route.latency_objective_ms
+    expected = overload.Expected(choice.wait_ms, work_ms, objective_ms)
+    return choice.view.overload.refuses(expected, now_ms)
+
+
 def _candidates(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> list[servers.ServerView]:
@@ -186,15 +204,31 @@
         usual.full_ms,
         usual.mean_ms,
         _usual_others(state, pending.service_id, now_ms),
+        state.network.round_trip_ms,
         functools.partial(_distance_ms, state, usual.full_ms),
         _gains(state, pending, candidates, now_ms),
+        overload.pressure(_load_per_slot(candidates, now_ms)),
     )
 
 
+def _load_per_slot(candidates: list[servers.ServerView], now_ms: float) -> float:
+    slots = sum(view.slots for view in candidates)
+    load = sum(view.load_at(now_ms, view.slots) for view in candidates)
+    return load / slots if slots else 0
+
+
+def _region_slots(state: gateway_state.State) -> dict[str, float]:
+    slots: dict[str, float] = {}
+    for view in state.servers.views.values():
+        region = state.network.regions.get(view.server.failure_domain, '')
+        slots[region] = slots.get(region, 0) + view.slots
+    return slots
+
+
 def _distance_ms(state: gateway_state.State, work_ms: float, failure_domain: str) -> float:
-    """Return the cost of the way to a failure domain, with that of a shift between regions."""
+    """Return the price of the way to a failure domain, with that of a shift between regions."""
     region = state.network.regions.get(failure_domain, '')
-    return state.network.cost_ms(failure_domain) + state.shares.cost(region) * work_ms
+    return state.network.price_ms(failure_domain) + state.shares.cost(region) * work_ms
 
 
 def _gains(
--- a/rhubarbspar/gateway/selection.py
+++ b/rhubarbspar/gateway/selection.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import math
+import operator
 import typing
 from collections import abc
 
@@ -31,8 +32,12 @@
         Average time of all requests of the route, for those that wait before this one.
     usual_others
         Requests of other instances that a server of the service usually has.
-    network_ms
-        Round trip to each failure domain, with the price of distance.
+    round_trip_ms
+        Round trip to each failure domain.
+    distance_ms
+        Price of the distance to each failure domain.
+    pressure
+        Price of a millisecond of work, in milliseconds of delay.
     gains
         Part of the work that each server is expected to save; 0 for others.
     """
@@ -41,16 +46,28 @@
     work_ms: float
     mean_ms: float
     usual_others: float
-    network_ms: abc.Callable[[str], float]
+    round_trip_ms: abc.Callable[[str], float]
+    distance_ms: abc.Callable[[str], float]
     gains: abc.Mapping[str, float]
+    pressure: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """A server, the time after which its response is expected, and the gain expected of it."""
+    """A server, the time after which its response is expected, and the gain expected of it.
+
+    Attributes
+    ----------
+    wait_ms
+        Part of the expected time that the request waits for a slot.
+    cost_ms
+        What the choice compares: the expected time with the prices of distance, failures and work.
+    """
 
     view: servers.ServerView
     expected_ms: float
+    wait_ms: float
+    cost_ms: float
     gain: float
 
 
@@ -61,32 +78,24 @@
     alive = [view for view in usable if view.ejected_until_ms <= now_ms]
     # With every server ejected, the one that failed longest ago is the best guess.
     considered = alive or sorted(usable, key=lambda view: view.ejected_until_ms)[:1]
-    best: Choice | None = None
-    for view in considered:
-        gain = conditions.gains.get(view.server.server_id, 0)
-        choice = Choice(view, expected_ms(view, conditions, gain), gain)
-        if best is None or choice.expected_ms < best.expected_ms:
-            best = choice
-    return best
+    choices = [_weigh(view, conditions) for view in considered]
+    return min(choices, key=operator.attrgetter('cost_ms'), default=None)
 
 
-def expected_ms(view: servers.ServerView, conditions: Conditions, gain: float) -> float:
-    """Return the time after which a server's response is expected, with the cost of failures."""
+def _weigh(view: servers.ServerView, conditions: Conditions) -> Choice:
     now_ms = conditions.now_ms
+    gain = conditions.gains.get(view.server.server_id, 0)
     load = view.load_at(now_ms, conditions.usual_others)
-    work_ms = conditions.work_ms * view.speed
+    work_ms = conditions.work_ms * view.speed * (1 - gain)
     if view.is_cold(now_ms):
         work_ms *= COLD_FACTOR
     wait_ms = max(0, load - view.slots + 1) * conditions.mean_ms * view.speed / view.slots
+    expected_ms = conditions.round_trip_ms(view.server.failure_domain) + wait_ms + work_ms
     crowding_ms = CROWDING * work_ms * min(1, load / view.slots)
     failing_ms = view.failure_share_at(now_ms) * FAILURE_COST * conditions.work_ms
-    return (
-        conditions.network_ms(view.server.failure_domain)
-        + wait_ms
-        + crowding_ms
-        + failing_ms
-        + work_ms * (1 - gain)
-    )
+    priced_ms = conditions.distance_ms(view.server.failure_domain) + conditions.pressure * work_ms
+    cost_ms = expected_ms + crowding_ms + failing_ms + priced_ms
+    return Choice(view, expected_ms, wait_ms, cost_ms, gain)
 
 
 @dataclasses.dataclass(slots=True)
@@ -144,14 +153,11 @@
         """Return whether a failure domain lies in the own region."""
         return self.regions.get(failure_domain) == self.region
 
-    def cost_ms(self, failure_domain: str) -> float:
-        """Return the round trip with the price of bytes between places."""
-        price_ms = 0.0
-        if failure_domain != self.failure_domain:
-            price_ms = DOMAIN_PRICE_MS
-        if self.regions.get(failure_domain) != self.region:
-            price_ms = REGION_PRICE_MS
-        return self.round_trip_ms(failure_domain) + price_ms
+    def price_ms(self, failure_domain: str) -> float:
+        """Return the price of bytes between places."""
+        if not self.is_near(failure_domain):
+            return REGION_PRICE_MS
+        return 0.0 if failure_domain == self.failure_domain else DOMAIN_PRICE_MS
 
     def note(self, failure_domain: str, connect_ms: float) -> None:
         """Take the time that opening a connection took; the least of the last ones counts."""
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -11,6 +11,7 @@
 
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import overload as server_overload
 
 # A server that could not be reached is left out for this time, doubled with each failure in a row.
 EJECTION_MIN_MS: typing.Final = 500
@@ -64,6 +65,7 @@
     gone_at_ms: float = math.inf
     cold_next_ms: float = -math.inf
     slots: int = 1
+    overload: server_overload.Overload = dataclasses.field(default_factory=server_overload.Overload)
 
     def take_declaration(self, server: models.BackendServer, now_ms: float) -> None:
         """Use a newer declaration of the same incarnation."""
--- a/rhubarbspar/gateway/shifts.py
+++ b/rhubarbspar/gateway/shifts.py
@@ -7,6 +7,7 @@
 import dataclasses
 import math
 import typing
+from collections import abc
 
 # Time constants of the recent and of the longer share; the bound on shifts compares spans of 2 s.
 RECENT_MS: typing.Final = 1200
@@ -17,6 +18,8 @@
 EXCESS_COST: typing.Final = 8.0
 # Requests that the recent average has to hold before it says anything.
 REQUESTS_MIN: typing.Final = 8.0
+# Weight of the assumed shares at the start.
+SEED_REQUESTS: typing.Final = 40.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,6 +54,24 @@
     recent: _Average = dataclasses.field(default_factory=lambda: _Average(RECENT_MS))
     longer: _Average = dataclasses.field(default_factory=lambda: _Average(LONGER_MS))
 
+    def seed(self, slots: abc.Mapping[str, float], own_region: str, now_ms: float) -> None:
+        """Assume the shares that the slots of the regions permit, before the first requests.
+
+        Every region is taken to have the same demand: the own region serves what its slots permit, and
+        the regions with more slots than demand serve the rest.
+        """
+        if self.longer.total or not slots:
+            return
+        whole = sum(slots.values())
+        parts = {region: count / whole * len(slots) for region, count in slots.items()}
+        own = min(1.0, parts.get(own_region, 0))
+        spare = {region: max(0.0, part - 1) for region, part in parts.items()}
+        spare_total = sum(spare.values()) or 1.0
+        shares = {region: (1 - own) * part / spare_total for region, part in spare.items()}
+        shares[own_region] = own
+        self.longer.weights = {region: share * SEED_REQUESTS for region, share in shares.items()}
+        self.longer.noted_ms = now_ms
+
     def note(self, region: str, now_ms: float) -> None:
         """Count a request that runs in a region."""
         self.recent.note(region, now_ms)
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -20,7 +20,8 @@
         'work_ms': 200,
         'mean_ms': 200,
         'usual_others': 0,
-        'network_ms': lambda _domain: 1.0,
+        'round_trip_ms': lambda _domain: 1.0,
+        'distance_ms': lambda _domain: 0.0,
         'gains': {},
         **fields,
     }
@@ -48,7 +49,7 @@
     near = views(2)
     far = views(4, failure_domain='astana-a')[3:]
     distances = {'almaty-a': 1.0, 'astana-a': 80.0}
-    place = conditions(network_ms=distances.__getitem__)
+    place = conditions(round_trip_ms=distances.__getitem__)
     assert selection.choose([*near, *far], place).view in near
     for view in near:
         view.running = 6
@@ -84,3 +85,13 @@
     for _ in range(20):
         network.note('c', 200)
     assert network.round_trip_ms('c') == 200
+
+
+def test_pressure_makes_work_dearer_than_waiting():
+    """Guards against work that is done anew on every server while all of them are full."""
+    candidates = views(3)
+    candidates[1].running = 9
+    gains = {'s1': 0.6}
+    assert selection.choose(candidates, conditions(gains=gains)).view is not candidates[1]
+    pressed = conditions(gains=gains, pressure=4)
+    assert selection.choose(candidates, pressed).view is candidates[1]
--- a/tests/gateway/test_shifts.py
+++ b/tests/gateway/test_shifts.py
@@ -36,3 +36,13 @@
     shares = shifts.RegionShares()
     shares.note('far', 0)
     assert shares.cost('far') == 0
+
+
+def test_first_requests_follow_the_slots_of_the_regions():
+    """Guards against a small region that fills up at the start and then sheds half of its requests."""
+    shares = shifts.RegionShares()
+    shares.seed({'small': 2, 'middle': 4, 'large': 6}, 'small', 0)
+    assert shares.longer.share('small') == 0.5
+    assert shares.longer.share('large') == 0.5
+    feed(shares, ['small'], 0, count=20)
+    assert shares.cost('small') > 1
