--- a/rhubarbspar/cli.py
+++ b/rhubarbspar/cli.py
@@ -118,6 +118,10 @@
     )
     instance.add_argument('--settings', required=True, metavar='FILE', help='instance settings')
     instance.set_defaults(run=_run_instance)
+    purpose = "run a gateway on the users' platform until its planned stop"
+    gateway = commands.add_parser('gateway', help=purpose, description=purpose, epilog=_EXIT_CODES)
+    gateway.add_argument('--settings', required=True, metavar='FILE', help='gateway settings')
+    gateway.set_defaults(run=_run_gateway)
 
 
 def _run_connected(
@@ -137,3 +141,8 @@
     # The daemon imports the reactor, which the other commands do not need.
     daemon = importlib.import_module('rhubarbspar.server.daemon')
     return int(daemon.run(settings))
+
+
+def _run_gateway(parsed: argparse.Namespace, _connect_to: Connect) -> int:
+    daemon = importlib.import_module('rhubarbspar.gateway.daemon')
+    return int(daemon.run(parsed.settings))
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -73,7 +73,7 @@
             silent_ms = now_ms - max(peer.heard_ms, peer.dialled_ms)
             if peer.connected and silent_ms > 2 * const.HEARTBEATS_MISSED_MAX * self.interval_ms:
                 peer.connected = False
-                peer.dialled_ms = now_ms
+                peer.dialled_ms = -math.inf
                 due.append(core_effects.ClosePeer(peer_id))
             if peer.connected or peer_id <= self.own.instance_id:
                 continue
