--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -25,8 +25,8 @@
 CONNECT_TIMEOUT_BASE_MS: typing.Final = 250
 CONNECT_ROUND_TRIPS: typing.Final = 3
 # An attempt at a server that is silent is given up after this many times its expected time.
-STALLED_FACTOR: typing.Final = 3.0
-STALLED_BASE_MS: typing.Final = 200
+STALLED_FACTOR: typing.Final = 2.0
+STALLED_BASE_MS: typing.Final = 100
 # Part of the usual work after which a full server has room again.
 RETRY_AFTER_PART: typing.Final = 0.5
 RETRY_AFTER_MIN_MS: typing.Final = 50
@@ -476,7 +476,8 @@
     if attempt.view.answered_ms > attempt.started_ms or not pending.route.idempotent:
         return False
     waited_ms = now_ms - attempt.started_ms
-    return waited_ms > STALLED_BASE_MS + STALLED_FACTOR * attempt.expected_ms
+    usual_ms = max(attempt.expected_ms, pending.route.latency_objective_ms)
+    return waited_ms > STALLED_BASE_MS + STALLED_FACTOR * usual_ms
 
 
 def _leave_silent(
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -14,7 +14,7 @@
 from rhubarbspar.gateway import state as gateway_state
 
 # Usual time of a route before any response, as a part of its latency objective.
-DEFAULT_WORK_PART: typing.Final = 0.6
+DEFAULT_WORK_PART: typing.Final = 1.2
 
 MAY_HAVE_RUN: typing.Final = frozenset(
     (
@@ -96,6 +96,8 @@
             return []
         case events.AttemptResult.NOT_RUN:
             view.answered_ms = now_ms
+            if ended.load is not None:
+                view.note_full(ended.load)
         case events.AttemptResult.BROKEN:
             _suspect(state, attempt, now_ms)
         case events.AttemptResult.UNREACHABLE:
--- a/rhubarbspar/gateway/selection.py
+++ b/rhubarbspar/gateway/selection.py
@@ -74,7 +74,7 @@
 def choose(candidates: abc.Sequence[servers.ServerView], conditions: Conditions) -> Choice | None:
     """Return the server with the shortest expected delay, or ``None`` without candidates."""
     now_ms = conditions.now_ms
-    usable = [view for view in candidates if view.may_send(now_ms)]
+    usable = [view for view in candidates if view.may_send(now_ms) and not view.is_full(now_ms)]
     alive = [view for view in usable if view.ejected_until_ms <= now_ms]
     # With every server ejected, the one that failed longest ago is the best guess.
     considered = alive or sorted(usable, key=lambda view: view.ejected_until_ms)[:1]
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -18,6 +18,8 @@
 EJECTION_MAX_MS: typing.Final = 4000
 # A reported load says less the older it is; this is the time constant of its decay.
 REPORT_DECAY_MS: typing.Final = 600
+# A report that is older than this does not keep requests from a server that was full.
+FULL_REPORT_MS: typing.Final = 250
 # Weight of the newest sample in the averages of failures and speed.
 FAILURE_WEIGHT: typing.Final = 0.15
 SPEED_WEIGHT: typing.Final = 0.15
@@ -47,6 +49,8 @@
         Average of failed attempts, 0 to 1.
     gone_at_ms
         When to stop using a server whose registration has lapsed; infinite otherwise.
+    full_load
+        Load at which the server last refused a request; infinite if it never did.
     cold_next_ms
         The next request to the cold server may be sent then.
     """
@@ -65,6 +69,7 @@
     gone_at_ms: float = math.inf
     cold_next_ms: float = -math.inf
     slots: int = 1
+    full_load: float = math.inf
     overload: server_overload.Overload = dataclasses.field(default_factory=server_overload.Overload)
 
     def take_declaration(self, server: models.BackendServer, now_ms: float) -> None:
@@ -81,6 +86,16 @@
         self.others = max(0, load.running + load.waiting - self.running)
         self.reported_ms = now_ms
 
+    def note_full(self, load: events.LoadReport) -> None:
+        """Remember the load at which the server refuses requests."""
+        self.full_load = max(load.slots, load.running + load.waiting)
+
+    def is_full(self, now_ms: float) -> bool:
+        """Return whether a fresh report says that the server would refuse a request."""
+        if now_ms - self.reported_ms > FULL_REPORT_MS:
+            return False
+        return self.running + self.others >= self.full_load
+
     def load_at(self, now_ms: float, usual_others: float) -> float:
         """Return the estimated number of requests at the server."""
         if self.reported_ms == -math.inf:
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -103,3 +103,16 @@
     view.take_report(events.LoadReport(3, 1, 3), 0)
     assert view.load_at(0, 0) == 4
     assert dataclasses.replace(view, running=0).load_at(0, 0) == 2
+
+
+def test_full_server_is_not_asked_again_at_once(gateway):
+    """Guards against requests that go from one full server to the next; load shedding at the source."""
+    full = events.LoadReport(3, 9, 3)
+    not_run = events.AttemptResult.NOT_RUN
+    first = conftest.only(gateway.request(), effects.StartAttempt)
+    outputs = gateway.reduce(conftest.ended(first, not_run, status=503, load=full))
+    second = conftest.only(outputs, effects.StartAttempt)
+    gateway.reduce(conftest.ended(second, not_run, status=503, load=full))
+    assert conftest.only(gateway.request(), effects.Refuse).retry_after_ms
+    gateway.advance(servers.FULL_REPORT_MS + 50)
+    assert conftest.only(gateway.request(), effects.StartAttempt)
