Let one instance of each region follow the store

Ruled out: longer waits of the watches, since the calls come from changes, not from waits.

Change: the lowest id of a region that hears the store follows it and passes changes on at once; others notice by its heartbeats when it does not, and follow themselves. Changes in quick succession are read by one call. Leases last 12 s and are renewed every 4 s. The permitted wait of overload control is 0.8 of the objective.

--- a/rhubarbspar/gateway/driver.py
+++ b/rhubarbspar/gateway/driver.py
@@ -164,6 +164,8 @@
         match effect:
             case effects.WriteStatus(status):
                 _start(self._store.write_status(status))
+            case effects.FollowStore(enabled):
+                self._store.switch_following(enabled)
             case effects.RefreshStore():
                 self._store.refresh()
             case effects.Leave():
--- a/rhubarbspar/gateway/effects.py
+++ b/rhubarbspar/gateway/effects.py
@@ -73,6 +73,13 @@
     status: models.RolloutStatus
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowStore(effects.Effect):
+    """Follow the changes of the store, or leave that to peers."""
+
+    enabled: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RefreshStore(effects.Effect):
     """Drop the connection to the store and ask it again."""
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import math
+import typing
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
@@ -12,6 +13,10 @@
 from rhubarbspar.gateway import models
 
 
+# Followers of the store in a fleet of one region.
+FOLLOWERS_SINGLE_REGION: typing.Final = 2
+
+
 @dataclasses.dataclass(slots=True)
 class Peer:
     """What is known of a peer."""
@@ -84,11 +89,41 @@
 
     def coordinates(self, now_ms: float) -> bool:
         """Return whether this instance is the first of those that hear the store."""
-        rivals = [
-            peer.member.instance_id
+        rivals = self.followers(now_ms)
+        return all(self.own.instance_id < rival.instance_id for rival in rivals)
+
+    def needs_follower(self, now_ms: float) -> bool:
+        """Return whether this instance has to follow the store itself.
+
+        One instance of each region follows it, two where there is a single region; the lowest ids of those
+        that hear the store do.
+        """
+        regions = {peer.member.region for peer in self.peers.values()} | {self.own.region}
+        wanted = 1 if len(regions) > 1 else FOLLOWERS_SINGLE_REGION
+        ahead = [
+            rival
+            for rival in self.followers(now_ms)
+            if rival.region == self.own.region and rival.instance_id < self.own.instance_id
+        ]
+        return len(ahead) < wanted
+
+    def followers(self, now_ms: float) -> list[models.Member]:
+        """Return the peers that hear the store."""
+        return [
+            peer.member
             for peer in self.live(now_ms)
             if peer.heartbeat is not None
             and peer.heartbeat.store_reachable
             and not peer.heartbeat.leaving
         ]
-        return all(self.own.instance_id < rival for rival in rivals)
+
+    def near_without_store(self, now_ms: float) -> list[str]:
+        """Return the peers of the own region that leave the store to others."""
+        return [
+            peer.member.instance_id
+            for peer in self.live(now_ms)
+            if peer.connected
+            and peer.member.region == self.own.region
+            and peer.heartbeat is not None
+            and not peer.heartbeat.store_reachable
+        ]
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -68,7 +68,7 @@
     store_revision
         The store's revision up to which the sender knows all changes.
     store_reachable
-        Whether the sender hears from the store.
+        Whether the sender itself hears the store.
     """
 
     incarnation: str
--- a/rhubarbspar/gateway/mirror.py
+++ b/rhubarbspar/gateway/mirror.py
@@ -25,7 +25,9 @@
     revision
         All changes up to this revision of the store are known; 0 before the first snapshot.
     reachable
-        Whether the last call to the store succeeded.
+        Whether the store was heard last, by this instance or a peer, rather than lost.
+    follows
+        Whether this instance itself hears the store.
     heard_ms
         When the store, or a peer that hears it, was last heard.
     settling_until_ms
@@ -34,6 +36,7 @@
 
     revision: int = 0
     reachable: bool = False
+    follows: bool = False
     heard_ms: float = float('-inf')
     settling_until_ms: float = float('-inf')
     records: dict[str, events.RecordRead] = dataclasses.field(default_factory=dict)
@@ -71,6 +74,7 @@
     def lose(self) -> None:
         """Note that the store does not answer."""
         self.reachable = False
+        self.follows = False
 
     def changes_after(self, revision: int) -> tuple[events.RecordRead, ...]:
         """Return the present records that are newer than a revision."""
--- a/rhubarbspar/gateway/news.py
+++ b/rhubarbspar/gateway/news.py
@@ -18,6 +18,7 @@
     """Note that the store answered."""
     regained = not state.mirror.reachable
     state.mirror.confirm(revision, now_ms)
+    state.mirror.follows = state.following
     if regained:
         return [core_effects.Log('store_regained', (('revision', state.mirror.revision),))]
     return []
@@ -45,6 +46,8 @@
         outputs.append(core_effects.Log('peer_heard', (('peer', peer_id),)))
     peer.heard_ms = now_ms
     peer.heartbeat = heartbeat
+    if heartbeat.store_reachable and not state.following:
+        state.mirror.confirm(0, now_ms)
     state.quotas.hear(peer_id, heartbeat, now_ms)
     state.rollouts.peers[peer_id] = heartbeat.versions
     for verdict in heartbeat.condemned:
@@ -58,6 +61,8 @@
 ) -> list[core_effects.Effect]:
     """Take changes that a peer has heard from the store."""
     mirror = state.mirror
+    if not state.following:
+        mirror.confirm(0, now_ms)
     if relayed.revision <= mirror.revision or relayed.after > mirror.revision:
         return []
     records = tuple(
@@ -69,6 +74,22 @@
     return [core_effects.Log('news_relayed', fields), *applied]
 
 
+def pass_on(
+    state: gateway_state.State,
+    after: int,
+    changes: tuple[events.RecordRead, ...],
+    now_ms: float,
+) -> list[core_effects.Effect]:
+    """Tell the peers of the own region that leave the store to others what has changed."""
+    if not changes or not state.mirror.follows:
+        return []
+    relayed = _news(after, state.mirror.revision, changes)
+    return [
+        core_effects.SendMessage(peer_id, relayed)
+        for peer_id in state.fleet.near_without_store(now_ms)
+    ]
+
+
 def connected(state: gateway_state.State, peer_id: str, now_ms: float) -> list[core_effects.Effect]:
     """Greet a peer."""
     peer = state.fleet.peers.get(peer_id)
@@ -90,6 +111,7 @@
 def tick(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Send heartbeats, dial peers, judge versions and record progress when due."""
     outputs = state.fleet.dials(now_ms)
+    outputs.extend(_follow(state, now_ms))
     verdicts = state.rollouts.judge()
     outputs.extend(_log_verdict(verdict, state.fleet.own.instance_id) for verdict in verdicts)
     if verdicts or now_ms - state.fleet.sent_ms >= state.fleet.interval_ms:
@@ -110,7 +132,7 @@
     return messages.Heartbeat(
         state.fleet.own.incarnation,
         state.mirror.revision,
-        state.mirror.reachable,
+        state.mirror.follows,
         state.is_stopping,
         state.quotas.report(now_ms),
         state.rollouts.report(),
@@ -122,18 +144,33 @@
     state: gateway_state.State, peer_id: str, heartbeat: messages.Heartbeat
 ) -> list[core_effects.Effect]:
     behind = heartbeat.store_revision < state.mirror.revision
-    if heartbeat.store_reachable or not behind:
+    if heartbeat.store_reachable or not behind or not state.mirror.follows:
         return []
+    changes = state.mirror.changes_after(heartbeat.store_revision)
+    relayed = _news(heartbeat.store_revision, state.mirror.revision, changes)
+    return [core_effects.SendMessage(peer_id, relayed)]
+
+
+def _news(after: int, revision: int, changes: tuple[events.RecordRead, ...]) -> messages.StoreNews:
     records = tuple(
-        messages.RelayedRecord(record.key, record.revision, record.content)
-        for record in state.mirror.changes_after(heartbeat.store_revision)
+        messages.RelayedRecord(record.key, record.revision, record.content) for record in changes
     )
-    relayed = messages.StoreNews(heartbeat.store_revision, state.mirror.revision, records)
-    return [core_effects.SendMessage(peer_id, relayed)]
+    return messages.StoreNews(after, revision, records)
+
+
+def _follow(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    """Follow the store, or leave it to the peers that do."""
+    needed = not state.mirror.revision or state.fleet.needs_follower(now_ms)
+    if needed == state.following:
+        return []
+    state.following = needed
+    state.mirror.follows = False
+    fields = (('enabled', needed), ('revision', state.mirror.revision))
+    return [effects.FollowStore(needed), core_effects.Log('store_following', fields)]
 
 
 def _due_statuses(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
-    if not state.rollouts.active or not state.mirror.reachable or state.is_stopping:
+    if not state.rollouts.active or not state.mirror.follows or state.is_stopping:
         return []
     if not state.fleet.coordinates(now_ms):
         return []
--- a/rhubarbspar/gateway/overload.py
+++ b/rhubarbspar/gateway/overload.py
@@ -12,7 +12,7 @@
 # A queue that lasts this long is a standing one.
 STANDING_MS: typing.Final = 400
 # A wait of this part of the latency objective is permitted also for work that takes longer than that.
-WAIT_MIN_PART: typing.Final = 0.5
+WAIT_MIN_PART: typing.Final = 0.8
 # Load per slot from which each millisecond of work is priced, and the price per unit of load above it.
 PRESSURE_START: typing.Final = 0.6
 PRESSURE_SLOPE: typing.Final = 3.0
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -62,8 +62,10 @@
             changed = state.mirror.replace(event, now_ms)
             return outputs + declarations.apply(state, changed, now_ms)
         case events.StoreChanged(records, revision):
+            after = state.mirror.revision
             outputs = news.store_heard(state, now_ms, revision)
             changed = state.mirror.change(records, revision)
+            outputs.extend(news.pass_on(state, after, changed, now_ms))
             return outputs + declarations.apply(state, changed, now_ms)
         case events.StoreLost(reason):
             return news.store_lost(state, reason, now_ms)
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -124,6 +124,7 @@
     weights: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
     lifecycle: Lifecycle = dataclasses.field(default_factory=Lifecycle)
     next_attempt: int = 0
+    following: bool = True
 
     @property
     def is_stopping(self) -> bool:
--- a/rhubarbspar/gateway/store_link.py
+++ b/rhubarbspar/gateway/store_link.py
@@ -21,8 +21,11 @@
 WATCH_WAIT_MS: typing.Final = 1500
 RETRY_MIN_S: typing.Final = 0.15
 RETRY_SPREAD_S: typing.Final = 0.2
-LEASE_TTL_MS: typing.Final = 6000
-RENEW_INTERVAL_S: typing.Final = 2.0
+# Changes that follow each other closely are read by one call.
+COALESCE_S: typing.Final = 0.1
+# The lease only serves the first contact of instances; whether one lives is told by heartbeats.
+LEASE_TTL_MS: typing.Final = 12_000
+RENEW_INTERVAL_S: typing.Final = 4.0
 _FLEET_KEY_BYTES: typing.Final = 32
 
 
@@ -60,6 +63,8 @@
         self._lease = 0
         self._leaving = False
         self._revision = 0
+        self._following = True
+        self._resumed: defer.Deferred[None] | None = None
 
     async def fleet_key(self) -> bytes:
         """Return the key that the instances share; the first one creates it."""
@@ -73,6 +78,7 @@
     async def follow(self) -> None:
         """Deliver all records, and then each change, for the life of the process."""
         while True:
+            await self._until_following()
             try:
                 await self._follow()
             except errors.CompactedError:
@@ -121,21 +127,35 @@
         """Ask for the changes after a revision that peers have told."""
         self._revision = max(self._revision, revision)
 
+    def switch_following(self, following: bool) -> None:  # noqa: FBT001
+        """Follow the changes, or leave that to peers once the present call has ended."""
+        self._following = following
+        if following and self._resumed is not None:
+            self._resumed.callback(None)
+            self._resumed = None
+
     def refresh(self) -> None:
         """Drop the connections, so that the store is asked again at once."""
         self._client.reset()
 
+    async def _until_following(self) -> None:
+        if not self._following:
+            self._resumed = defer.Deferred()
+            await self._resumed
+
     async def _follow(self) -> None:
         if not self._revision:
             read, revision = await self._client.read_all(platform_const.PREFIX_ALL)
             self._revision = revision
             self._deliver(events.StoreSnapshot(read, revision))
-        while True:
+        while self._following:
             changes, revision = await self._client.watch(
                 platform_const.PREFIX_ALL, self._revision, WATCH_WAIT_MS
             )
             self._revision = max(self._revision, revision)
             self._deliver(events.StoreChanged(changes, self._revision))
+            if changes:
+                await self._sleep(COALESCE_S)
 
     async def _renew(self) -> None:
         if self._lease and await self._client.renew_lease(self._lease):
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -98,10 +98,63 @@
 
 def test_only_one_instance_records_progress(gateway):
     """Guards against instances that overwrite each other's status."""
-    gateway.declare('members/front-0', conftest.dataclasses.replace(PEER, instance_id='front-0'))
+    rival = conftest.dataclasses.replace(PEER, instance_id='front-0', region='astana')
+    gateway.declare('members/front-0', rival)
     gateway.add_server('new', version='v2')
     gateway.declare('rollout/stock', models.RolloutOrder('stock', 'v2', 14_000, 0))
     beat = heartbeat()
     gateway.reduce(core_events.MessageReceived('front-0', beat))
     assert not [out for out in gateway.advance(500) if isinstance(out, effects.WriteStatus)]
     assert [out for out in gateway.advance(3000) if isinstance(out, effects.WriteStatus)]
+
+
+def follow(outputs):
+    """Return what is said about following the store."""
+    return [out.enabled for out in outputs if isinstance(out, effects.FollowStore)]
+
+
+def test_one_instance_of_a_region_follows_the_store(gateway):
+    """Guards against calls to the store that grow with the fleet."""
+    near = conftest.dataclasses.replace(PEER, instance_id='front-0')
+    far = conftest.dataclasses.replace(PEER, instance_id='front-3', region='astana')
+    for member in (near, far):
+        gateway.declare(f'members/{member.instance_id}', member)
+    assert follow(gateway.advance(200)) == []
+    gateway.reduce(core_events.MessageReceived('front-0', heartbeat()))
+    assert follow(gateway.advance(200)) == [False]
+    assert follow(gateway.advance(2000)) == [True]
+
+
+def test_instance_takes_over_when_the_follower_loses_the_store(gateway):
+    """Guards against a region without news while only its follower is turned away."""
+    far = conftest.dataclasses.replace(PEER, instance_id='front-3', region='astana')
+    gateway.declare('members/front-0', conftest.dataclasses.replace(PEER, instance_id='front-0'))
+    gateway.declare('members/front-3', far)
+    gateway.reduce(core_events.MessageReceived('front-0', heartbeat()))
+    gateway.advance(100)
+    gateway.reduce(core_events.MessageReceived('front-0', heartbeat(store_reachable=False)))
+    assert follow(gateway.advance(100)) == [True]
+
+
+def test_follower_passes_changes_on_at_once(gateway):
+    """Guards against a change that waits for the next heartbeat."""
+    gateway.declare('members/front-2', PEER)
+    gateway.reduce(core_events.PeerConnected('front-2', 'b'))
+    hear(gateway, heartbeat(store_reachable=False, store_revision=gateway.revision))
+    outputs = gateway.declare('evacuate/almaty-b', models.Evacuation('almaty-b'))
+    sent = conftest.only(outputs, core_effects.SendMessage).message
+    assert (sent.after, sent.revision) == (gateway.revision - 1, gateway.revision)
+    assert [record.key for record in sent.records] == ['evacuate/almaty-b']
+
+
+def test_registrations_settle_also_where_peers_follow_the_store(gateway):
+    """Guards against servers that an instance drops because it hears of the outage from peers."""
+    near = conftest.dataclasses.replace(PEER, instance_id='front-0')
+    far = conftest.dataclasses.replace(PEER, instance_id='front-3', region='astana')
+    for member in (near, far):
+        gateway.declare(f'members/{member.instance_id}', member)
+    gateway.reduce(core_events.MessageReceived('front-0', heartbeat()))
+    gateway.advance(100)
+    gateway.reduce(events.StoreLost('timeout'))
+    gateway.reduce(core_events.MessageReceived('front-0', heartbeat()))
+    assert gateway.state.mirror.settling_until_ms > gateway.now_ms
