--- a/rhubarbspar/gateway/selection.py
+++ b/rhubarbspar/gateway/selection.py
@@ -54,7 +54,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """A server, the time after which its response is expected, and the gain expected of it.
+    """A server, the time after which its response is expected, the gain expected and its load.
 
     Attributes
     ----------
@@ -69,6 +69,7 @@
     wait_ms: float
     cost_ms: float
     gain: float
+    load: float
 
 
 def choose(candidates: abc.Sequence[servers.ServerView], conditions: Conditions) -> Choice | None:
@@ -95,7 +96,7 @@
     failing_ms = view.failure_share_at(now_ms) * FAILURE_COST * conditions.work_ms
     priced_ms = conditions.distance_ms(view.server.failure_domain) + conditions.pressure * work_ms
     cost_ms = expected_ms + crowding_ms + failing_ms + priced_ms
-    return Choice(view, expected_ms, wait_ms, cost_ms, gain)
+    return Choice(view, expected_ms, wait_ms, cost_ms, gain, load)
 
 
 @dataclasses.dataclass(slots=True)
