Test the gateway's whole path over sockets; let a gateway close without ending the process

Change: tests/gateway/test_daemon.py runs a gateway against the stand-in store and a backend server: a request, look-up and readiness through a planned stop, a draining server. The daemon's parts gain close().

--- a/rhubarbspar/gateway/backends.py
+++ b/rhubarbspar/gateway/backends.py
@@ -72,6 +72,11 @@
         if pool is not None:
             pool.close()
 
+    def close(self) -> None:
+        """Close all kept connections."""
+        for server_id in tuple(self._pools):
+            self.forget(server_id)
+
     def sweep(self) -> None:
         """Close the connections that were idle for too long."""
         for pool in self._pools.values():
--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -79,6 +79,7 @@
             reactor, self._state, self._callers.handle, self._counters, clock_ms
         )
         self._ticked_ms = clock_ms()
+        self._loops: list[task.LoopingCall] = []
 
     def start(self) -> None:
         """Open the listeners and start the tasks; call it with the reactor running."""
@@ -91,6 +92,14 @@
         incarnation = self._member.incarnation
         self._driver.report(core_effects.Log('started', (('incarnation', incarnation),)))
 
+    def close(self) -> None:
+        """End all tasks and close all ports and connections; the process goes on."""
+        for loop in self._loops:
+            loop.stop()
+        self._listeners.close()
+        self._backends.close()
+        self._store.close()
+
     def request_stop(self) -> None:
         """Begin a planned stop."""
         self._listeners.callers.closing = True
@@ -112,6 +121,8 @@
 
     async def _meet_peers(self) -> None:
         key = await self._store.fleet_key()
+        if not key:
+            return
         host, port = _split(self._settings.peer_address)
         transport = peer_transport.PeerTransport(
             peer_transport.TransportSettings(
@@ -143,6 +154,7 @@
     def _repeat(self, interval_s: float, function: abc.Callable[[], None]) -> None:
         loop = task.LoopingCall(function)
         loop.clock = self._reactor
+        self._loops.append(loop)
         loop.start(interval_s, now=False).addErrback(self._fail)
 
     def _exit(self) -> None:
--- a/rhubarbspar/gateway/driver.py
+++ b/rhubarbspar/gateway/driver.py
@@ -165,7 +165,7 @@
             case effects.WriteStatus(status):
                 _start(self._store.write_status(status))
             case effects.FollowStore(enabled):
-                self._store.switch_following(enabled)
+                self._store.switch_following(following=enabled)
             case effects.RefreshStore():
                 self._store.refresh()
             case effects.Leave():
--- a/rhubarbspar/gateway/listeners.py
+++ b/rhubarbspar/gateway/listeners.py
@@ -53,6 +53,7 @@
         self._clock_ms = clock_ms
         self._sites = [self.callers]
         self._port: typing.Any = None
+        self._ports: list[typing.Any] = []
 
     def open(self, settings: gateway_settings.Settings) -> None:
         """Open all ports."""
@@ -65,6 +66,13 @@
         """Accept no more connections of callers."""
         self._port.stopListening()
 
+    def close(self) -> None:
+        """Close all ports and connections."""
+        for port in self._ports:
+            port.stopListening()
+        for site in self._sites:
+            site.abort()
+
     def sweep(self) -> None:
         """Close the connections that are idle or slow beyond their limits."""
         for site in self._sites:
@@ -111,7 +119,9 @@
     def _listen(self, address: str, site: server.Site) -> typing.Any:
         host, _, port = address.rpartition(':')
         listen = self._reactor.listenTCP
-        return listen(int(port), site, backlog=BACKLOG, interface=host.strip('[]'))
+        opened = listen(int(port), site, backlog=BACKLOG, interface=host.strip('[]'))
+        self._ports.append(opened)
+        return opened
 
 
 _SERVICE_LIMITS: typing.Final = server.Limits(
--- a/rhubarbspar/gateway/store_link.py
+++ b/rhubarbspar/gateway/store_link.py
@@ -64,20 +64,22 @@
         self._leaving = False
         self._revision = 0
         self._following = True
+        self._closed = False
         self._resumed: defer.Deferred[None] | None = None
 
     async def fleet_key(self) -> bytes:
         """Return the key that the instances share; the first one creates it."""
-        while True:
+        while not self._closed:
             try:
                 return await self._read_fleet_key()
             except errors.StoreError as error:
                 self._fail('fleet_key', error)
                 await self._pause()
+        return b''
 
     async def follow(self) -> None:
         """Deliver all records, and then each change, for the life of the process."""
-        while True:
+        while not self._closed:
             await self._until_following()
             try:
                 await self._follow()
@@ -91,7 +93,7 @@
 
     async def register(self) -> None:
         """Keep the registration of this instance until it leaves."""
-        while not self._leaving:
+        while not (self._leaving or self._closed):
             try:
                 await self._renew()
             except errors.StoreError as error:
@@ -127,13 +129,19 @@
         """Ask for the changes after a revision that peers have told."""
         self._revision = max(self._revision, revision)
 
-    def switch_following(self, following: bool) -> None:  # noqa: FBT001
+    def switch_following(self, *, following: bool) -> None:
         """Follow the changes, or leave that to peers once the present call has ended."""
         self._following = following
         if following and self._resumed is not None:
             self._resumed.callback(None)
             self._resumed = None
 
+    def close(self) -> None:
+        """End all tasks; the registration stays until its lease ends."""
+        self._closed = True
+        self.switch_following(following=True)
+        self._client.reset()
+
     def refresh(self) -> None:
         """Drop the connections, so that the store is asked again at once."""
         self._client.reset()
@@ -148,7 +156,7 @@
             read, revision = await self._client.read_all(platform_const.PREFIX_ALL)
             self._revision = revision
             self._deliver(events.StoreSnapshot(read, revision))
-        while self._following:
+        while self._following and not self._closed:
             changes, revision = await self._client.watch(
                 platform_const.PREFIX_ALL, self._revision, WATCH_WAIT_MS
             )
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -88,6 +88,12 @@
         for channel in tuple(self.channels):
             channel.check_time(now_ms)
 
+    def abort(self) -> None:
+        """Close every connection at once."""
+        for channel in tuple(self.channels):
+            transport: typing.Any = channel.transport
+            transport.abortConnection()
+
     def close_idle(self) -> None:
         """Close every connection that carries no request."""
         for channel in tuple(self.channels):
--- /dev/null
+++ b/tests/gateway/test_daemon.py
@@ -0,0 +1,169 @@
+"""The whole path in one process: callers, gateway, store and a backend server over sockets."""
+
+import json
+import pathlib
+import re
+import socket
+
+import pytest
+from twisted.internet import defer
+
+from rhubarbspar.gateway import daemon as gateway_daemon
+from rhubarbspar.gateway import settings
+from rhubarbspar.http1 import client
+from rhubarbspar.http1 import messages
+from rhubarbspar.http1 import server
+from tests.gateway import test_settings
+from tests.platform import standin
+
+CONFIGURATION = {
+    'version': 'r1',
+    'routes': {
+        'columns': ['name', 'host', 'pathPrefix', 'routeType', 'timeout', 'service'],
+        'rows': [['r-1', 'shop.example', '/stock/', 'safe', '1s', 'stock']],
+    },
+    'services': {'columns': ['name'], 'rows': [['stock']]},
+    'tenants': {'columns': ['name', 'apiKeys'], 'rows': [['workshop', ['key-1']]]},
+}
+
+
+def free_address():
+    """Return an address that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+class Deployment:
+    """A store, a backend server and a gateway."""
+
+    def __init__(self, loop, tmp_path):
+        """Start all parts."""
+        self.loop = loop
+        self.store = standin.Store(loop.reactor)
+        self.seen = []
+        limits = server.Limits(16_384, 1_048_576, 3000, 15_000)
+        self._site = server.Site(self._serve, lambda: limits, lambda: 0.0)
+        self._port = loop.reactor.listenTCP(0, self._site, interface='127.0.0.1')
+        self.store.put('op/config', json.dumps(CONFIGURATION).encode())
+        self.declare('ready', 1)
+        self.addresses = {name: free_address() for name in ('front', 'ready', 'directory', 'own')}
+        path = tmp_path / 'settings.jsonc'
+        path.write_text(self._settings(test_settings.TEMPLATE))
+        self.gateway = gateway_daemon.Daemon(str(path), settings.load(path), loop.reactor)
+        self.gateway.start()
+
+    def declare(self, state, sequence):
+        """Register the backend server."""
+        entry = {
+            'service': 'stock',
+            'address': f'127.0.0.1:{self._port.getHost().port}',
+            'zone': 'almaty-a',
+            'version': 'v1',
+            'slots': 3,
+            'state': state,
+            'seqNo': sequence,
+        }
+        self.store.put('servers/s-1', json.dumps(entry).encode())
+
+    async def call(self, address_name, path, key='key-1'):
+        """Return the response to a request."""
+        host, _, port = self.addresses[address_name].rpartition(':')
+        headers = ((b'host', b'shop.example'), (b'authorization', f'Bearer {key}'.encode()))
+        finished = defer.Deferred()
+        call = client.Call(messages.Request(b'GET', path, headers), finished.callback)
+        pool = client.Pool(self.loop.reactor, client.Endpoint(host, int(port)), lambda: 0.0, 1000)
+        pool.start(call, 1000)
+        outcome = await finished
+        pool.close()
+        return outcome
+
+    async def until_ready(self):
+        """Wait until the gateway knows the configuration and the server."""
+        state = self.gateway._state
+        await self.loop.until(lambda: state.is_ready and state.servers.views)
+
+    async def close(self):
+        """Stop all parts."""
+        self.gateway.close()
+        self._site.abort()
+        await self._port.stopListening()
+        await self.store.close()
+
+    def _serve(self, exchange):
+        self.seen.append(exchange.request)
+        exchange.respond(messages.Response(200, ((b'x-seal', b'1'),), b'in stock'))
+
+    def _settings(self, template):
+        values = {
+            **test_settings.VALUES,
+            'listen.front': json.dumps(self.addresses['front']),
+            'listen.ready': json.dumps(self.addresses['ready']),
+            'listen.directory': json.dumps(self.addresses['directory']),
+            'provider.address': json.dumps(self.store.address),
+            'ip': '127.0.0.1',
+            'internalPorts.0': free_address().rpartition(':')[2],
+        }
+        text = re.sub(
+            r'{{([\w.]+)(?:\|json)?}}',
+            lambda match: values[match[1]],
+            pathlib.Path(template).read_text(),
+        )
+        return text.replace('127.0.0.1:9464', free_address())
+
+
+@pytest.fixture
+def deployment(loop, tmp_path):
+    """Return a running deployment."""
+    made = Deployment(loop, tmp_path)
+    yield made
+    loop.run(made.close())
+
+
+def test_request_reaches_the_server_and_its_response_the_caller(deployment):
+    """Guards against parts that work alone and not together."""
+
+    async def scenario():
+        await deployment.until_ready()
+        response = await deployment.call('front', b'/stock/7')
+        assert (response.status, response.body) == (200, b'in stock')
+        assert messages.find(response.headers, b'x-seal') == b'1'
+        (seen,) = deployment.seen
+        assert messages.find(seen.headers, b'authorization') is None
+        assert messages.find(seen.headers, b'x-rhubarbspar-tenant') == b'workshop'
+        assert (await deployment.call('front', b'/stock/7', key='other')).status == 401
+        assert (await deployment.call('front', b'/none/')).status == 404
+
+    deployment.loop.run(scenario())
+
+
+def test_lookup_and_readiness_follow_the_planned_stop(deployment):
+    """Guards against callers that are sent to an instance that leaves."""
+
+    async def scenario():
+        await deployment.until_ready()
+        query = b'/resolve?name=shop.example&region=almaty&zone=almaty-a'
+        found = json.loads((await deployment.call('directory', query)).body)
+        assert found['frontAddresses'] == [deployment.addresses['front']]
+        assert (await deployment.call('ready', b'/readiness')).status == 200
+        deployment.gateway.request_stop()
+        assert (await deployment.call('ready', b'/readiness')).status == 503
+        response = await deployment.call('front', b'/stock/7')
+        assert response.status == 200
+        assert not response.keep_alive or messages.find(response.headers, b'connection') == b'close'
+
+    deployment.loop.run(scenario())
+
+
+def test_draining_server_gets_no_request(deployment):
+    """Guards against a change of the store that does not reach the choice."""
+
+    async def scenario():
+        await deployment.until_ready()
+        deployment.declare('draining', 2)
+        (view,) = deployment.gateway._state.servers.views.values()
+        await deployment.loop.until(lambda: view.server.draining)
+        assert (await deployment.call('front', b'/stock/7')).status == 503
+        assert not deployment.seen
+
+    deployment.loop.run(scenario())
