--- a/rhubarbspar/bench/__main__.py
+++ b/rhubarbspar/bench/__main__.py
@@ -11,6 +11,7 @@
 from rhubarbspar.bench import deployment
 from rhubarbspar.bench import entry
 from rhubarbspar.bench import fault_classes
+from rhubarbspar.bench import gateway
 from rhubarbspar.bench import measures
 from rhubarbspar.bench import home_failure
 from rhubarbspar.bench import models
@@ -34,6 +35,7 @@
         'changes': slopes.changes,
         'memory': slopes.memory,
         'entry': entry.figures,
+        'gateway': gateway.gateway,
         'refusals': policy.refusals,
         'owner_refusals': policy.owner_refusals,
         'worst_served': policy.worst_served,
