--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -59,11 +59,20 @@
 
 @dataclasses.dataclass(slots=True)
 class Rollout:
-    """An order and its progress at this instance."""
+    """An order and its progress at this instance.
+
+    Attributes
+    ----------
+    owed
+        Requests that the candidate has to get by its share, less those that it got.
+    old_used_ms
+        When this instance last sent a request to the old version.
+    status_ms
+        When this instance last wrote the progress.
+    """
 
     order: models.RolloutOrder
     started_ms: float
-    incumbent: str | None
     owed: float = 0
     old_used_ms: float = -math.inf
     status_ms: float = -math.inf
@@ -72,7 +81,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Rollouts:
-    """The rollouts by service, and the results of this instance and its peers."""
+    """The rollouts by service, and the results of this instance and its peers.
+
+    Attributes
+    ----------
+    incumbents
+        The version of each service that serves without a rollout.
+    """
 
     active: dict[str, Rollout] = dataclasses.field(default_factory=dict)
     incumbents: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -85,8 +100,7 @@
         known = self.active.get(order.service_id)
         if known is not None and known.order.revision == order.revision:
             return
-        incumbent = self.incumbents.get(order.service_id)
-        self.active[order.service_id] = Rollout(order, now_ms, incumbent)
+        self.active[order.service_id] = Rollout(order, now_ms)
 
     def take_status(self, status: models.RolloutStatus) -> None:
         """Take the recorded end of a rollout."""
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -39,7 +39,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """A request at a backend server."""
+    """A request at a backend server.
+
+    Attributes
+    ----------
+    gain
+        Part of the work that the server was expected to save.
+    waited
+        Whether the server's slots were taken, so that its time says nothing about the work.
+    subject
+        What the result counts for, if a rollout is under way.
+    """
 
     number: int
     attempt: int
