--- a/rhubarbspar/platform/records.py
+++ b/rhubarbspar/platform/records.py
@@ -21,7 +21,14 @@
 )
 
 _VERSION: typing.Final = re.compile(r'r(\d+)')
-_MALFORMED: typing.Final = (ArithmeticError, LookupError, TypeError, ValueError)
+_MALFORMED: typing.Final = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 _STATES: typing.Final = frozenset(('ready', 'draining'))
 _ATTEMPTS_DEFAULT: typing.Final = 1
 _PORT_MAX: typing.Final = 65_535
--- /dev/null
+++ b/tests/http1/test_fuzz.py
@@ -0,0 +1,37 @@
+"""Connections of clients that send anything, in any pieces."""
+
+import hypothesis
+from hypothesis import strategies
+
+from tests.http1 import conftest
+
+REQUESTS = (
+    b'GET /a HTTP/1.1\r\nHost: h\r\nX-One: 1\r\n\r\n'
+    b'POST /b HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody'
+    b'POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n'
+)
+SETTINGS = hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+
+
+@SETTINGS
+@hypothesis.given(strategies.lists(strategies.integers(1, len(REQUESTS) - 1), max_size=8))
+def test_pieces_do_not_change_the_requests(cuts):
+    """Guards against a request that depends on how the network cut it."""
+    served = conftest.Served()
+    edges = [0, *sorted(cuts), len(REQUESTS)]
+    for start, end in zip(edges, edges[1:], strict=False):
+        served.receive(REQUESTS[start:end])
+    seen = [(exchange.request.target, exchange.request.body) for exchange in served.exchanges]
+    assert seen == [(b'/a', b''), (b'/b', b'body'), (b'/c', b'abc')]
+
+
+@SETTINGS
+@hypothesis.given(strategies.lists(strategies.binary(max_size=80), max_size=6))
+def test_any_bytes_are_refused_or_wait(chunks):
+    """Guards against bytes of a client that end the process or its connection without an answer."""
+    served = conftest.Served()
+    for chunk in chunks:
+        served.receive(chunk)
+    served.now_ms = 100_000
+    served.site.sweep()
+    assert not served.transport.write_ended or not served.sent or b'HTTP/1.1 4' in served.sent
