Split addresses in one place

Cause: the last read of the change found host:port taken apart in four places, twice by the same function.

A comment in declarations.py described another constant.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -123,11 +123,8 @@
         key = await self._store.fleet_key()
         if not key:
             return
-        host, port = _split(self._settings.peer_address)
         transport = peer_transport.PeerTransport(
-            peer_transport.TransportSettings(
-                self._settings.instance_id, self._member.incarnation, host, port, key
-            ),
+            initial_state.peer_settings(self._settings, self._member, key),
             self._driver.deliver,
             self._driver.report,
             registry.collect((messages,)),
@@ -190,8 +187,3 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.request_stop)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(':')
-    return host.strip('[]'), int(port)
--- a/rhubarbspar/gateway/declarations.py
+++ b/rhubarbspar/gateway/declarations.py
@@ -10,7 +10,7 @@
 from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
 
-# After an evacuation the servers of the failure domain are taken for cold until they say otherwise.
+# A service that declares no cold start has servers that are never cold.
 _NO_COLD_MS: typing.Final = 0.0
 
 
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -9,6 +9,8 @@
 from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.helpers import addresses
+from rhubarbspar.peers import transport
 from rhubarbspar.platform import records
 
 _INCARNATION_BYTES: typing.Final = 6
@@ -41,3 +43,13 @@
         settings.caller_address,
         settings.peer_address,
     )
+
+
+def peer_settings(
+    settings: gateway_settings.Settings, member: models.Member, fleet_key: bytes
+) -> transport.TransportSettings:
+    """Return who this instance is to its peers, and where it listens to them."""
+    host, port = addresses.split(settings.peer_address)
+    return transport.TransportSettings(
+        member.instance_id, member.incarnation, host, port, fleet_key
+    )
--- a/rhubarbspar/gateway/listeners.py
+++ b/rhubarbspar/gateway/listeners.py
@@ -8,6 +8,7 @@
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.helpers import addresses
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import server
 from rhubarbspar.platform import directory as platform_directory
@@ -117,9 +118,9 @@
         self._listen(address, site)
 
     def _listen(self, address: str, site: server.Site) -> typing.Any:
-        host, _, port = address.rpartition(':')
+        host, port = addresses.split(address)
         listen = self._reactor.listenTCP
-        opened = listen(int(port), site, backlog=BACKLOG, interface=host.strip('[]'))
+        opened = listen(port, site, backlog=BACKLOG, interface=host)
         self._ports.append(opened)
         return opened
 
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 
 from rhubarbspar.gateway import events
+from rhubarbspar.helpers import addresses
 from rhubarbspar.helpers import durations
 from rhubarbspar.http1 import client
 from rhubarbspar.http1 import errors as http_errors
@@ -40,10 +41,10 @@
         self, reactor: typing.Any, address: str, clock_ms: abc.Callable[[], float]
     ) -> None:
         """Open no connection yet."""
-        host, _, port = address.rpartition(':')
+        host, port = addresses.split(address)
         self._reactor = reactor
         self._host = address.encode()
-        endpoint = client.Endpoint(host, int(port))
+        endpoint = client.Endpoint(host, port)
         self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS)
         self._calls: set[client.Call] = set()
 
--- a/rhubarbspar/server/daemon.py
+++ b/rhubarbspar/server/daemon.py
@@ -17,6 +17,7 @@
 from rhubarbspar.components.routing import index
 from rhubarbspar.core import effects
 from rhubarbspar.core import events
+from rhubarbspar.helpers import addresses
 from rhubarbspar.helpers import logs
 from rhubarbspar.peers import transport as peer_transport
 from rhubarbspar.storage import instance_list
@@ -87,7 +88,7 @@
         return defer.Deferred.fromFuture(asyncio.ensure_future(self._transport.start()))
 
     def _create_transport(self) -> peer_transport.PeerTransport:
-        host, port = _split(self._settings.peer_address)
+        host, port = addresses.split(self._settings.peer_address)
         return peer_transport.PeerTransport(
             peer_transport.TransportSettings(
                 instance_id=self._settings.instance_id,
@@ -183,15 +184,10 @@
 
 
 def _listen(reactor: typing.Any, address: str, factory: typing.Any) -> typing.Any:
-    host, port = _split(address)
+    host, port = addresses.split(address)
     return reactor.listenTCP(port, factory, interface=host)
 
 
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(':')
-    return host.strip('[]'), int(port)
-
-
 def _repeat(reactor: typing.Any, interval_s: float, function: abc.Callable[[], None]) -> None:
     loop = task.LoopingCall(function)
     loop.clock = reactor
