Place requests by a sample in large services; report only changed accounts

Ruled out: a longer heartbeat interval alone, since it makes quotas and liveness slower and leaves the choice. Change: the servers that may get a request are indexed once per declaration (groups), a group above 24 servers is sampled around the servers of the object, the load of a group is summed up every 100 ms; heartbeats name the accounts that changed, and a bucket keeps one sum over its peers; connections and followers are looked at every 200 ms or when a peer loses the store.

--- a/rhubarbspar/gateway/affinity.py
+++ b/rhubarbspar/gateway/affinity.py
@@ -21,32 +21,50 @@
 PREFERRED_GAINS: typing.Final = (0.5, 0.25)
 # Preferred server in the other regions, for times when the own region is full.
 FAR_GAIN: typing.Final = 0.2
-MEMORY_MAX: typing.Final = 20_000
+# Objects that are remembered, and servers of each.
+MEMORY_MAX: typing.Final = 10_000
+SERVERS_MAX: typing.Final = 16
 
 
 @dataclasses.dataclass(slots=True)
 class ObjectMemory:
-    """When this instance has last sent an object's request to a server, by both."""
+    """When this instance has last sent an object's request to a server.
 
-    sent_ms: collections.OrderedDict[tuple[str, str], float] = dataclasses.field(
+    Attributes
+    ----------
+    sent_ms
+        Times by server, by object; the object that was used last is at the end.
+    """
+
+    sent_ms: collections.OrderedDict[str, dict[str, float]] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
 
     def note(self, object_key: str, server_id: str, now_ms: float) -> None:
         """Remember a request."""
-        self.sent_ms[object_key, server_id] = now_ms
-        self.sent_ms.move_to_end((object_key, server_id))
+        known = self.sent_ms.setdefault(object_key, {})
+        known[server_id] = now_ms
+        self.sent_ms.move_to_end(object_key)
+        if len(known) > SERVERS_MAX:
+            known.pop(min(known, key=known.__getitem__))
         if len(self.sent_ms) > MEMORY_MAX:
             self.sent_ms.popitem(last=False)
 
-    def gain(self, object_key: str, server_id: str, now_ms: float) -> float:
-        """Return the part of the work that the server is expected to save."""
-        sent_ms = self.sent_ms.get((object_key, server_id))
-        if sent_ms is None:
-            return 0
-        age_ms = now_ms - sent_ms
-        left = (FORGOTTEN_MS - age_ms) / (FORGOTTEN_MS - RECENT_MS)
-        return RECENT_GAIN * min(1.0, max(0.0, left))
+    def gains(self, object_key: str, now_ms: float) -> list[tuple[str, float]]:
+        """Return the part of the work that each server of an object is expected to save."""
+        known = self.sent_ms.get(object_key)
+        if known is None:
+            return []
+        return [
+            (server_id, _gain_after(now_ms - sent_ms))
+            for server_id, sent_ms in known.items()
+            if now_ms - sent_ms < FORGOTTEN_MS
+        ]
+
+
+def _gain_after(age_ms: float) -> float:
+    left = (FORGOTTEN_MS - age_ms) / (FORGOTTEN_MS - RECENT_MS)
+    return RECENT_GAIN * min(1.0, max(0.0, left))
 
 
 def preferred(
--- a/rhubarbspar/gateway/const.py
+++ b/rhubarbspar/gateway/const.py
@@ -12,6 +12,8 @@
 # Heartbeats that a live peer may miss.
 HEARTBEATS_MISSED_MAX: typing.Final = 3
 REDIAL_INTERVAL_MS: typing.Final = 1000
+# Connections to peers and the followers of the store are looked at this often.
+FLEET_CHECK_INTERVAL_MS: typing.Final = 200
 
 LOOKUP_TTL_MS: typing.Final = 1000
 LOOKUP_INSTANCES_MAX: typing.Final = 64
--- a/rhubarbspar/gateway/declarations.py
+++ b/rhubarbspar/gateway/declarations.py
@@ -75,6 +75,7 @@
             state.rollouts.take_status(declared)
         case models.Evacuation(failure_domain):
             state.declared.evacuated.add(failure_domain)
+            state.declared.evacuations += 1
         case models.Member():
             state.fleet.register(declared)
     return [core_effects.Log('record_taken', (('key', record.key), ('revision', record.revision)))]
@@ -131,6 +132,7 @@
             return _remove_server(state, server_id, now_ms)
         case models.Evacuation(failure_domain):
             state.declared.evacuated.discard(failure_domain)
+            state.declared.evacuations += 1
             _chill(state, failure_domain, now_ms)
         case models.RolloutOrder(service_id=service_id):
             state.rollouts.active.pop(service_id, None)
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -30,10 +30,19 @@
 
 @dataclasses.dataclass(slots=True)
 class Fleet:
-    """This instance and its peers."""
+    """This instance and its peers.
+
+    Attributes
+    ----------
+    checked_ms
+        When connections and followers of the store were last looked at.
+    sent_ms
+        When the last heartbeat was sent to all.
+    """
 
     own: models.Member
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    checked_ms: float = -math.inf
     sent_ms: float = -math.inf
 
     def register(self, member: models.Member) -> None:
--- /dev/null
+++ b/rhubarbspar/gateway/groups.py
@@ -0,0 +1,170 @@
+"""The servers that may get a request, indexed once for each change of what is declared.
+
+Patterns: constraint filtering, cached; power of d choices in large groups (Mitzenmacher, "The power of two
+choices in randomized load balancing", 2001).
+"""
+
+import collections
+import dataclasses
+import itertools
+import typing
+from collections import abc
+
+from rhubarbspar.gateway import affinity
+from rhubarbspar.gateway import servers
+
+# In a group up to this size every server is weighed; the choice costs some microseconds a server.
+WEIGHED_ALL_MAX: typing.Final = 24
+# Servers that are weighed in a larger group, beside those of the object, in the own region and outside.
+SAMPLED_NEAR: typing.Final = 6
+SAMPLED_FAR: typing.Final = 6
+# The load of a whole group is summed up anew after this time.
+SUMMARY_INTERVAL_MS: typing.Final = 100
+# Usual queue of the other instances, by the reports of all servers of a group.
+USUAL_OTHERS_MAX: typing.Final = 8.0
+_UNKNOWN_OTHERS: typing.Final = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupKey:
+    """What decides which servers may get a request; an empty set of regions permits all."""
+
+    service_id: str
+    route_regions: frozenset[str]
+    account_regions: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadSummary:
+    """The load of a group.
+
+    Attributes
+    ----------
+    usual_others
+        Requests of other instances that a server usually has.
+    per_slot
+        Requests at the servers, divided by their slots.
+    """
+
+    computed_ms: float
+    usual_others: float
+    per_slot: float
+
+
+class ServerGroup:
+    """Servers among which a request is placed.
+
+    Parameters
+    ----------
+    views
+        The servers.
+    is_near
+        Whether a failure domain lies in the own region.
+    """
+
+    def __init__(
+        self, views: abc.Iterable[servers.ServerView], is_near: abc.Callable[[str], bool]
+    ) -> None:
+        """Index the servers."""
+        self.views = tuple(views)
+        self.by_id = {view.server.server_id: view for view in self.views}
+        self.versions = collections.Counter(view.server.version for view in self.views)
+        self._is_near = is_near
+        near = [view for view in self.views if is_near(view.server.failure_domain)]
+        far = [view for view in self.views if not is_near(view.server.failure_domain)]
+        self._near = _Rotation(near)
+        self._far = _Rotation(far)
+        self._by_version: dict[str, ServerGroup] = {}
+        self._preferred: dict[str, abc.Mapping[str, float]] = {}
+        self._summary: LoadSummary | None = None
+
+    def of_version(self, version: str) -> 'ServerGroup':
+        """Return the servers of a version."""
+        if len(self.versions) == 1 and version in self.versions:
+            return self
+        known = self._by_version.get(version)
+        if known is None:
+            views = [view for view in self.views if view.server.version == version]
+            known = ServerGroup(views, self._is_near)
+            self._by_version[version] = known
+        return known
+
+    def preferred(self, object_key: str) -> abc.Mapping[str, float]:
+        """Return the expected gain at the preferred servers of an object, by server."""
+        known = self._preferred.get(object_key)
+        if known is None:
+            if len(self._preferred) >= affinity.MEMORY_MAX:
+                self._preferred.clear()
+            known = affinity.preferred(self.views, object_key, self._is_near)
+            self._preferred[object_key] = known
+        return known
+
+    def weighed(self, gains: abc.Mapping[str, float]) -> abc.Sequence[servers.ServerView]:
+        """Return the servers to compare for a request.
+
+        Parameters
+        ----------
+        gains
+            Expected gain by server; these servers are always compared.
+        """
+        if len(self.views) <= WEIGHED_ALL_MAX:
+            return self.views
+        chosen = {
+            server_id: self.by_id[server_id] for server_id in gains if server_id in self.by_id
+        }
+        for view in (*self._near.take(SAMPLED_NEAR), *self._far.take(SAMPLED_FAR)):
+            chosen[view.server.server_id] = view
+        return tuple(chosen.values())
+
+    def load(self, now_ms: float) -> LoadSummary:
+        """Return the load of the group."""
+        summary = self._summary
+        if summary is None or now_ms - summary.computed_ms >= SUMMARY_INTERVAL_MS:
+            summary = LoadSummary(now_ms, _usual_others(self.views, now_ms), self._per_slot(now_ms))
+            self._summary = summary
+        return summary
+
+    def _per_slot(self, now_ms: float) -> float:
+        slots = sum(view.slots for view in self.views)
+        load = sum(view.load_at(now_ms, view.slots) for view in self.views)
+        return load / slots if slots else 0
+
+
+@dataclasses.dataclass(slots=True)
+class GroupCache:
+    """The groups by key; a change of what is declared makes all of them void.
+
+    Attributes
+    ----------
+    epoch
+        Number of the state of the declarations for which the groups hold.
+    """
+
+    epoch: int = 0
+    groups: dict[GroupKey, ServerGroup] = dataclasses.field(default_factory=dict)
+
+    def find(self, key: GroupKey, epoch: int) -> ServerGroup | None:
+        """Return a group if it still holds."""
+        if epoch != self.epoch:
+            self.groups.clear()
+            self.epoch = epoch
+        return self.groups.get(key)
+
+
+class _Rotation:
+    """Takes members in turn, so that over time each is compared equally often."""
+
+    def __init__(self, views: abc.Sequence[servers.ServerView]) -> None:
+        self._size = len(views)
+        self._cycle = itertools.cycle(views)
+
+    def take(self, count: int) -> abc.Iterable[servers.ServerView]:
+        """Return the next members, each at most once."""
+        return itertools.islice(self._cycle, min(count, self._size))
+
+
+def _usual_others(views: abc.Iterable[servers.ServerView], now_ms: float) -> float:
+    reports = [view.others for view in views if now_ms - view.reported_ms < servers.REPORT_DECAY_MS]
+    if not reports:
+        return _UNKNOWN_OTHERS
+    return min(USUAL_OTHERS_MAX, sum(reports) / len(reports))
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -69,6 +69,8 @@
         The store's revision up to which the sender knows all changes.
     store_reachable
         Whether the sender itself hears the store.
+    accounts
+        The accounts whose use has changed since the last heartbeat; all at the start of a connection.
     """
 
     incarnation: str
--- a/rhubarbspar/gateway/news.py
+++ b/rhubarbspar/gateway/news.py
@@ -3,7 +3,10 @@
 Patterns: gossip of cumulative counters; relay of the store's changes to peers that it does not serve.
 """
 
+import math
+
 from rhubarbspar.core import effects as core_effects
+from rhubarbspar.gateway import const
 from rhubarbspar.gateway import declarations
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
@@ -44,6 +47,9 @@
     outputs: list[core_effects.Effect] = []
     if not state.fleet.is_live(peer, now_ms):
         outputs.append(core_effects.Log('peer_heard', (('peer', peer_id),)))
+    if peer.heartbeat is None or peer.heartbeat.store_reachable != heartbeat.store_reachable:
+        # The region may need another follower of the store at once.
+        state.fleet.checked_ms = -math.inf
     peer.heard_ms = now_ms
     peer.heartbeat = heartbeat
     if heartbeat.store_reachable and not state.following:
@@ -96,7 +102,8 @@
     if peer is not None:
         peer.connected = True
         peer.dialled_ms = now_ms
-    greeting = core_effects.SendMessage(peer_id, _heartbeat(state, now_ms))
+    heartbeat = _heartbeat(state, state.quotas.report(now_ms))
+    greeting = core_effects.SendMessage(peer_id, heartbeat)
     return [core_effects.Log('peer_connected', (('peer', peer_id),)), greeting]
 
 
@@ -110,8 +117,12 @@
 
 def tick(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Send heartbeats, dial peers, judge versions and record progress when due."""
-    outputs = state.fleet.dials(now_ms)
-    outputs.extend(_follow(state, now_ms))
+    outputs: list[core_effects.Effect] = []
+    if now_ms - state.fleet.checked_ms >= const.FLEET_CHECK_INTERVAL_MS:
+        state.fleet.checked_ms = now_ms
+        state.quotas.expire(now_ms)
+        outputs.extend(state.fleet.dials(now_ms))
+        outputs.extend(_follow(state, now_ms))
     verdicts = state.rollouts.judge()
     outputs.extend(_log_verdict(verdict, state.fleet.own.instance_id) for verdict in verdicts)
     if verdicts or now_ms - state.fleet.sent_ms >= state.fleet.interval_ms:
@@ -125,16 +136,18 @@
     state.fleet.sent_ms = now_ms
     if not any(peer.connected for peer in state.fleet.peers.values()):
         return []
-    return [core_effects.Broadcast(_heartbeat(state, now_ms))]
+    return [core_effects.Broadcast(_heartbeat(state, state.quotas.report_changes(now_ms)))]
 
 
-def _heartbeat(state: gateway_state.State, now_ms: float) -> messages.Heartbeat:
+def _heartbeat(
+    state: gateway_state.State, accounts: tuple[messages.AccountUse, ...]
+) -> messages.Heartbeat:
     return messages.Heartbeat(
         state.fleet.own.incarnation,
         state.mirror.revision,
         state.mirror.follows,
         state.is_stopping,
-        state.quotas.report(now_ms),
+        accounts,
         state.rollouts.report(),
         tuple(sorted(state.rollouts.verdicts, key=repr)),
     )
--- a/rhubarbspar/gateway/placement.py
+++ b/rhubarbspar/gateway/placement.py
@@ -4,17 +4,16 @@
 """
 
 import functools
-import typing
+from collections import abc
 
-from rhubarbspar.gateway import affinity
+from rhubarbspar.gateway import groups
 from rhubarbspar.gateway import outcomes
 from rhubarbspar.gateway import overload
 from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
 
-# Usual queue of the other instances, by the reports of all servers of a service.
-USUAL_OTHERS_MAX: typing.Final = 8.0
+_ANYWHERE: frozenset[str] = frozenset()
 
 
 def choose(
@@ -23,9 +22,14 @@
     """Return the server that a request is to be sent to now, or ``None`` if none may get it."""
     if not state.shares.longer.total:
         state.shares.seed(_region_slots(state), state.network.region, now_ms)
-    candidates = _candidates(state, pending, now_ms)
-    conditions = _conditions(state, pending, candidates, now_ms)
-    return selection.choose(candidates, conditions)
+    group = _version_group(state, pending, now_ms)
+    gains = _gains(state, pending, group, now_ms)
+    conditions = _conditions(state, pending, group, gains, now_ms)
+    choice = selection.choose(_untried(pending, group.weighed(gains)), conditions)
+    if choice is None or choice.view.ejected_until_ms > now_ms:
+        # No usable server is among those that were compared; another one may be.
+        return selection.choose(_untried(pending, group.views), conditions)
+    return choice
 
 
 def is_overloaded(
@@ -40,73 +44,95 @@
     return choice.view.overload.refuses(expected, now_ms)
 
 
-def _candidates(
+def _untried(
+    pending: gateway_state.PendingRequest, views: abc.Sequence[servers.ServerView]
+) -> abc.Sequence[servers.ServerView]:
+    if not pending.tried:
+        return views
+    return [view for view in views if view.server.server_id not in pending.tried]
+
+
+def _version_group(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
-) -> list[servers.ServerView]:
-    views = [
-        view
-        for view in state.servers.of_service(pending.service_id)
-        if _is_permitted(state, pending, view)
-    ]
-    if pending.tried:
-        return state.rollouts.old_version_servers(pending.service_id, views)
-    chosen = state.rollouts.usable(pending.service_id, views, now_ms)
-    if any(view.may_send(now_ms) for view in chosen):
-        return chosen
-    return state.rollouts.old_version_servers(pending.service_id, views)
+) -> groups.ServerGroup:
+    """Return the permitted servers of the version whose turn it is."""
+    group = _permitted_group(state, pending)
+    if not group.versions:
+        return group
+    service_id = pending.service_id
+    if not pending.tried:
+        version = state.rollouts.next_version(service_id, group.versions, now_ms)
+        chosen = group.of_version(version)
+        if any(view.may_send(now_ms) for view in chosen.views):
+            return chosen
+    return group.of_version(state.rollouts.incumbent(service_id, group.versions))
+
+
+def _permitted_group(
+    state: gateway_state.State, pending: gateway_state.PendingRequest
+) -> groups.ServerGroup:
+    account = pending.account
+    account_regions = _ANYWHERE if account is None else account.home_regions
+    key = groups.GroupKey(pending.service_id, pending.route.home_regions, account_regions)
+    epoch = state.servers.epoch + state.declared.evacuations
+    group = state.groups.find(key, epoch)
+    if group is None:
+        views = [
+            view
+            for view in state.servers.of_service(pending.service_id)
+            if _is_permitted(state, key, view)
+        ]
+        group = groups.ServerGroup(views, state.network.is_near)
+        state.groups.groups[key] = group
+    return group
 
 
 def _is_permitted(
-    state: gateway_state.State,
-    pending: gateway_state.PendingRequest,
-    view: servers.ServerView,
+    state: gateway_state.State, key: groups.GroupKey, view: servers.ServerView
 ) -> bool:
     server = view.server
-    if server.draining or server.server_id in pending.tried:
-        return False
-    if server.failure_domain in state.declared.evacuated:
+    if server.draining or server.failure_domain in state.declared.evacuated:
         return False
     region = state.network.regions.get(server.failure_domain, '')
-    account = pending.account
-    if account is not None and account.home_regions and region not in account.home_regions:
+    if key.account_regions and region not in key.account_regions:
         return False
-    return not pending.route.home_regions or region in pending.route.home_regions
+    return not key.route_regions or region in key.route_regions
 
 
 def _conditions(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
-    candidates: list[servers.ServerView],
+    group: groups.ServerGroup,
+    gains: abc.Mapping[str, float],
     now_ms: float,
 ) -> selection.Conditions:
     usual = outcomes.work_time(state, pending.route)
+    load = group.load(now_ms)
     return selection.Conditions(
         now_ms,
         usual.full_ms,
         usual.mean_ms,
-        _usual_others(state, pending.service_id, now_ms),
+        load.usual_others,
         state.network.round_trip_ms,
         functools.partial(_distance_ms, state, usual.full_ms),
-        _gains(state, pending, candidates, now_ms),
-        overload.pressure(_load_per_slot(candidates, now_ms)),
+        gains,
+        overload.pressure(load.per_slot),
     )
 
 
 def _gains(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
-    candidates: list[servers.ServerView],
+    group: groups.ServerGroup,
     now_ms: float,
-) -> dict[str, float]:
+) -> abc.Mapping[str, float]:
     """Return the part of the work that each server is expected to save for the request's object."""
     object_key = pending.request.object_key
     if object_key is None or not pending.route.sticky:
         return {}
-    gains = affinity.preferred(candidates, object_key, state.network.is_near)
-    for view in candidates:
-        server_id = view.server.server_id
-        recent = state.object_memory.gain(object_key, server_id, now_ms)
-        if recent:
+    gains = dict(group.preferred(object_key))
+    for server_id, recent in state.object_memory.gains(object_key, now_ms):
+        if server_id in group.by_id:
             gains[server_id] = max(recent, gains.get(server_id, 0))
     return gains
 
@@ -119,22 +145,7 @@
     return slots
 
 
-def _load_per_slot(candidates: list[servers.ServerView], now_ms: float) -> float:
-    slots = sum(view.slots for view in candidates)
-    load = sum(view.load_at(now_ms, view.slots) for view in candidates)
-    return load / slots if slots else 0
-
-
 def _distance_ms(state: gateway_state.State, work_ms: float, failure_domain: str) -> float:
     """Return the price of the way to a failure domain, with that of a shift between regions."""
     region = state.network.regions.get(failure_domain, '')
     return state.network.price_ms(failure_domain) + state.shares.cost(region) * work_ms
-
-
-def _usual_others(state: gateway_state.State, service_id: str, now_ms: float) -> float:
-    reports = [
-        view.others
-        for view in state.servers.of_service(service_id)
-        if now_ms - view.reported_ms < servers.REPORT_DECAY_MS
-    ]
-    return min(USUAL_OTHERS_MAX, sum(reports) / len(reports)) if reports else 1.0
--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -14,7 +14,6 @@
 from rhubarbspar.gateway import evidence
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import servers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,16 +122,6 @@
         self.verdicts.add(verdict)
         return True
 
-    def usable(
-        self, service_id: str, views: abc.Sequence[servers.ServerView], now_ms: float
-    ) -> list[servers.ServerView]:
-        """Return the servers of the version that the next request is to use."""
-        versions = {view.server.version for view in views}
-        if not versions:
-            return []
-        version = self._next_version(service_id, versions, views, now_ms)
-        return [view for view in views if view.server.version == version]
-
     def share(self, rollout: Rollout, now_ms: float) -> float:
         """Return the candidate's share of the requests now."""
         part = self._elapsed_part(rollout, now_ms)
@@ -142,14 +131,45 @@
             return min(share, STEPS[0].share)
         return share
 
-    def old_version_servers(
-        self, service_id: str, views: abc.Sequence[servers.ServerView]
-    ) -> list[servers.ServerView]:
-        """Return the servers of the version that serves without a rollout."""
-        if not views:
-            return []
-        incumbent = self._incumbent(service_id, views)
-        return [view for view in views if view.server.version == incumbent]
+    def next_version(self, service_id: str, versions: abc.Mapping[str, int], now_ms: float) -> str:
+        """Return the version that the next request is to use.
+
+        Parameters
+        ----------
+        versions
+            Number of servers by version; not empty.
+        """
+        incumbent = self.incumbent(service_id, versions)
+        rollout = self.active.get(service_id)
+        if rollout is None or rollout.order.version == incumbent:
+            return incumbent
+        candidate = rollout.order.version
+        verdict = _condemned(rollout.order)
+        if rollout.condemned or verdict in self.verdicts or candidate not in versions:
+            return incumbent
+        rollout.owed = min(1.0, rollout.owed) + self.share(rollout, now_ms)
+        if rollout.owed < 1:
+            return incumbent
+        rollout.owed -= 1
+        return candidate
+
+    def incumbent(self, service_id: str, versions: abc.Mapping[str, int]) -> str:
+        """Return the version in use; without one, that of most servers but the ordered version.
+
+        Parameters
+        ----------
+        versions
+            Number of servers by version; not empty.
+        """
+        known = self.incumbents.get(service_id)
+        if known is not None and known in versions:
+            return known
+        rollout = self.active.get(service_id)
+        ordered = None if rollout is None else rollout.order.version
+        others = sorted(version for version in versions if version != ordered) or sorted(versions)
+        chosen = max(others, key=versions.__getitem__)
+        self.incumbents[service_id] = chosen
+        return chosen
 
     def subject(self, server: models.BackendServer, route_id: str) -> Subject | None:
         """Return what a request's result counts for, if a rollout is under way."""
@@ -227,42 +247,6 @@
             due.append(models.RolloutStatus(service_id, rollout.order.version, phase, revision))
         return tuple(due)
 
-    def _next_version(
-        self,
-        service_id: str,
-        versions: set[str],
-        views: abc.Sequence[servers.ServerView],
-        now_ms: float,
-    ) -> str:
-        incumbent = self._incumbent(service_id, views)
-        rollout = self.active.get(service_id)
-        if rollout is None or rollout.order.version == incumbent:
-            return incumbent
-        candidate = rollout.order.version
-        verdict = _condemned(rollout.order)
-        if rollout.condemned or verdict in self.verdicts:
-            return incumbent
-        if candidate not in versions:
-            return incumbent
-        rollout.owed = min(1.0, rollout.owed) + self.share(rollout, now_ms)
-        if rollout.owed < 1:
-            return incumbent
-        rollout.owed -= 1
-        return candidate
-
-    def _incumbent(self, service_id: str, views: abc.Sequence[servers.ServerView]) -> str:
-        """Return the version in use; without one, that of most servers but the ordered version."""
-        known = self.incumbents.get(service_id)
-        present = [view.server.version for view in views]
-        if known in present:
-            return known
-        rollout = self.active.get(service_id)
-        ordered = None if rollout is None else rollout.order.version
-        others = [version for version in present if version != ordered] or present
-        chosen = max(sorted(set(others)), key=others.count)
-        self.incumbents[service_id] = chosen
-        return chosen
-
     def _phase(self, rollout: Rollout, now_ms: float) -> str:
         if rollout.condemned:
             return const.PHASE_ROLLED_BACK
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -167,11 +167,14 @@
     ----------
     newest
         The newest statement of each id, also of removed servers: a late one of before is ignored.
+    epoch
+        Changes with the set of servers that may get requests.
     """
 
     views: dict[str, ServerView] = dataclasses.field(default_factory=dict)
     by_service: dict[str, dict[str, ServerView]] = dataclasses.field(default_factory=dict)
     newest: dict[str, _Statement] = dataclasses.field(default_factory=dict)
+    epoch: int = 0
 
     def declare(self, server: models.BackendServer, now_ms: float) -> bool:
         """Take a declaration; return whether it is a new server or incarnation."""
@@ -181,9 +184,11 @@
         self.newest[server.server_id] = _Statement(server.born_unix_ms, server.sequence)
         view = self.views.get(server.server_id)
         if view is not None and _same_incarnation(view.server, server):
+            self.epoch += _placement(view.server) != _placement(server)
             view.take_declaration(server, now_ms)
             return False
         self.remove(server.server_id)
+        self.epoch += 1
         added = ServerView(server, cold_until_ms=now_ms + server.cold_ms, slots=server.slots)
         self.views[server.server_id] = added
         self.by_service.setdefault(server.service_id, {})[server.server_id] = added
@@ -199,6 +204,7 @@
         """Forget a server, but not its newest statement."""
         view = self.views.pop(server_id, None)
         if view is not None:
+            self.epoch += 1
             self.by_service[view.server.service_id].pop(server_id)
 
     def of_service(self, service_id: str) -> list[ServerView]:
@@ -222,3 +228,8 @@
 
 def _identity(server: models.BackendServer) -> tuple[object, ...]:
     return (server.born_unix_ms, server.host, server.port, server.service_id, server.version)
+
+
+def _placement(server: models.BackendServer) -> tuple[object, ...]:
+    """Return what decides whether a server may get a request."""
+    return (server.draining, server.failure_domain)
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -9,6 +9,7 @@
 from rhubarbspar.gateway import budget as retry_budget
 from rhubarbspar.gateway import crashes as crash_register
 from rhubarbspar.gateway import fleet as gateway_fleet
+from rhubarbspar.gateway import groups as server_groups
 from rhubarbspar.gateway import mirror as store_mirror
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import quotas as account_quotas
@@ -29,11 +30,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Declared:
-    """What operators and backend servers declare."""
+    """What operators and backend servers declare.
+
+    Attributes
+    ----------
+    evacuations
+        Number of changes of the evacuated failure domains.
+    """
 
     configuration: models.Configuration | None = None
     records: dict[str, Record] = dataclasses.field(default_factory=dict)
     evacuated: set[str] = dataclasses.field(default_factory=set)
+    evacuations: int = 0
     statuses: dict[str, models.RolloutStatus] = dataclasses.field(default_factory=dict)
 
 
@@ -121,6 +129,7 @@
     mirror: store_mirror.Mirror = dataclasses.field(default_factory=store_mirror.Mirror)
     declared: Declared = dataclasses.field(default_factory=Declared)
     servers: server_views.Servers = dataclasses.field(default_factory=server_views.Servers)
+    groups: server_groups.GroupCache = dataclasses.field(default_factory=server_groups.GroupCache)
     work: dict[str, selection.WorkTime] = dataclasses.field(default_factory=dict)
     shares: shifts.RegionShares = dataclasses.field(default_factory=shifts.RegionShares)
     object_memory: affinity.ObjectMemory = dataclasses.field(default_factory=affinity.ObjectMemory)
--- a/tests/gateway/test_affinity.py
+++ b/tests/gateway/test_affinity.py
@@ -47,15 +47,19 @@
     """Guards against sending an object back to a server that has lost it."""
     memory = affinity.ObjectMemory()
     memory.note('7', 's0', 0)
-    assert memory.gain('7', 's0', 1000) == affinity.RECENT_GAIN
-    assert 0 < memory.gain('7', 's0', 7000) < affinity.RECENT_GAIN
-    assert memory.gain('7', 's0', 20_000) == 0
-    assert memory.gain('8', 's0', 0) == 0
+    assert memory.gains('7', 1000) == [('s0', affinity.RECENT_GAIN)]
+    ((_, fading),) = memory.gains('7', 7000)
+    assert 0 < fading < affinity.RECENT_GAIN
+    assert not memory.gains('7', 20_000)
+    assert not memory.gains('8', 0)
 
 
 def test_memory_is_bounded():
-    """Guards against memory that grows with the number of objects."""
+    """Guards against memory that grows with the number of objects, or with the servers of one."""
     memory = affinity.ObjectMemory()
     for number in range(affinity.MEMORY_MAX + 10):
         memory.note(str(number), 's0', number)
     assert len(memory.sent_ms) == affinity.MEMORY_MAX
+    for number in range(affinity.SERVERS_MAX + 10):
+        memory.note('1', f's{number}', number)
+    assert len(memory.sent_ms['1']) == affinity.SERVERS_MAX
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -31,7 +31,7 @@
 
     def exchange(self, now_ms, cut):
         """Let every instance hear every other."""
-        reports = [member.report(now_ms) for member in self.members]
+        reports = [member.report_changes(now_ms) for member in self.members]
         for sender, report in enumerate(reports):
             beat = messages.Heartbeat(f'i{sender}', 1, True, False, accounts=report)
             for receiver, member in enumerate(self.members):
@@ -71,3 +71,37 @@
     """Guards against a limit that nobody set."""
     unlimited = models.ClientAccount('free', ('key',), None, 0, 0)
     assert all(quotas.Quotas().admit(unlimited, 0) is None for _ in range(1000))
+
+
+def test_unchanged_use_is_reported_once():
+    """Guards against heartbeats that grow with the number of accounts instead of their requests."""
+    member = quotas.Quotas()
+    member.admit(ACCOUNT, 1000)
+    first = member.report_changes(1000)
+    assert [use.admitted for use in first] == [1]
+    assert not member.report_changes(1000)
+    (ended,) = member.report_changes(20_000)
+    assert ended.demand_per_s == 0
+    assert not member.report_changes(40_000)
+    assert member.report(40_000) == (ended,)
+
+
+def test_silent_peer_no_longer_counts_after_its_callers_have_moved():
+    """Guards against a part of the rate that stays reserved for a lost instance."""
+    member = quotas.Quotas()
+    member.admit(ACCOUNT, 0)
+    use = messages.AccountUse(ACCOUNT.account_id, 500, 3 * RATE_PER_S)
+    member.hear('1', messages.Heartbeat('i1', 1, True, False, accounts=(use,)), 0)
+    assert member.buckets[ACCOUNT.account_id].others_per_s == 3 * RATE_PER_S
+    member.expire(quotas.REPORT_KEPT_MS + 1)
+    assert member.buckets[ACCOUNT.account_id].others_per_s == 0
+
+
+def test_restarted_peer_replaces_its_former_demand():
+    """Guards against demand that is counted for both lives of a peer."""
+    member = quotas.Quotas()
+    use = messages.AccountUse(ACCOUNT.account_id, 500, 30)
+    for incarnation in ('i1', 'i2'):
+        beat = messages.Heartbeat(incarnation, 1, True, False, accounts=(use,))
+        member.hear('1', beat, 0)
+    assert member.buckets[ACCOUNT.account_id].others_per_s == 30
