--- a/rhubarbspar/gateway/affinity.py
+++ b/rhubarbspar/gateway/affinity.py
@@ -6,6 +6,8 @@
 
 import collections
 import dataclasses
+import enum
+import types
 import typing
 from collections import abc
 
@@ -17,10 +19,26 @@
 RECENT_MS: typing.Final = 4000
 # A server forgets an object gradually; after this time nothing is left.
 FORGOTTEN_MS: typing.Final = 10_000
-# The same for the preferred servers of an object, to which the other instances send it too.
-PREFERRED_GAINS: typing.Final = (0.5, 0.25)
-# Preferred server in the other regions, for times when the own region is full.
-FAR_GAIN: typing.Final = 0.2
+
+
+class Place(enum.Enum):
+    """Why a server is expected to have an object at hand."""
+
+    NONE = enum.auto()
+    RECENT = enum.auto()
+    FIRST = enum.auto()
+    SECOND = enum.auto()
+    FAR = enum.auto()
+
+
+# The least part of the work that is expected to be saved at the preferred servers of an object, to which the
+# other instances send it too; responses may show that it is more.
+PREFERRED_GAINS: typing.Final = types.MappingProxyType(
+    {Place.FIRST: 0.5, Place.SECOND: 0.25, Place.FAR: 0.2}
+)
+GAIN_MAX: typing.Final = 0.8
+# Weight of the newest response in the learnt gain of a place.
+GAIN_WEIGHT: typing.Final = 0.08
 # Objects that are remembered, and servers of each.
 MEMORY_MAX: typing.Final = 10_000
 SERVERS_MAX: typing.Final = 16
@@ -67,12 +85,36 @@
     return RECENT_GAIN * min(1.0, max(0.0, left))
 
 
+@dataclasses.dataclass(slots=True)
+class Gains:
+    """Part of the work of a route that is saved at each place, learnt from responses without queue."""
+
+    learnt: dict[Place, float] = dataclasses.field(default_factory=dict)
+
+    def note(self, place: Place, saved_part: float) -> None:
+        """Average what a response shows."""
+        if place in PREFERRED_GAINS:
+            bounded = min(GAIN_MAX, max(0.0, saved_part))
+            known = self.learnt.setdefault(place, PREFERRED_GAINS[place])
+            self.learnt[place] = known + (bounded - known) * GAIN_WEIGHT
+
+    def at(self, place: Place) -> float:
+        """Return the expected part, at least what is assumed without responses.
+
+        The least part keeps the requests of an object together while it is at hand nowhere yet.
+        """
+        if place not in PREFERRED_GAINS:
+            return 0
+        least = PREFERRED_GAINS[place]
+        return max(least, self.learnt.get(place, least))
+
+
 def preferred(
     candidates: abc.Sequence[servers.ServerView],
     object_key: str,
     is_near: abc.Callable[[str], bool],
-) -> dict[str, float]:
-    """Return the expected gain at the preferred servers of an object, by server.
+) -> dict[str, Place]:
+    """Return the preferred servers of an object.
 
     Parameters
     ----------
@@ -82,8 +124,9 @@
     near = [view.server.server_id for view in candidates if is_near(view.server.failure_domain)]
     known = frozenset(near)
     far = [view.server.server_id for view in candidates if view.server.server_id not in known]
-    gains = dict(zip(rendezvous.rank(object_key, near), PREFERRED_GAINS, strict=False))
+    nearest = rendezvous.rank(object_key, near)
+    places = dict(zip(nearest, (Place.FIRST, Place.SECOND), strict=False))
     farthest = rendezvous.choose(object_key, far)
     if farthest is not None:
-        gains[farthest] = FAR_GAIN
-    return gains
+        places[farthest] = Place.FAR
+    return places
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -171,6 +171,7 @@
         now_ms,
         choice.expected_ms,
         choice.gain,
+        choice.place,
         choice.load >= choice.view.slots,
         state.rollouts.subject(choice.view.server, pending.route.route_id),
     )
--- a/rhubarbspar/gateway/groups.py
+++ b/rhubarbspar/gateway/groups.py
@@ -75,7 +75,7 @@
         self._near = _Rotation(near)
         self._far = _Rotation(far)
         self._by_version: dict[str, ServerGroup] = {}
-        self._preferred: dict[str, abc.Mapping[str, float]] = {}
+        self._preferred: dict[str, abc.Mapping[str, affinity.Place]] = {}
         self._summary: LoadSummary | None = None
 
     def of_version(self, version: str) -> 'ServerGroup':
@@ -89,8 +89,8 @@
             self._by_version[version] = known
         return known
 
-    def preferred(self, object_key: str) -> abc.Mapping[str, float]:
-        """Return the expected gain at the preferred servers of an object, by server."""
+    def preferred(self, object_key: str) -> abc.Mapping[str, affinity.Place]:
+        """Return the preferred servers of an object."""
         known = self._preferred.get(object_key)
         if known is None:
             if len(self._preferred) >= affinity.MEMORY_MAX:
@@ -99,18 +99,18 @@
             self._preferred[object_key] = known
         return known
 
-    def weighed(self, gains: abc.Mapping[str, float]) -> abc.Sequence[servers.ServerView]:
+    def weighed(self, at_hand: abc.Iterable[str]) -> abc.Sequence[servers.ServerView]:
         """Return the servers to compare for a request.
 
         Parameters
         ----------
-        gains
-            Expected gain by server; these servers are always compared.
+        at_hand
+            Servers that are always compared.
         """
         if len(self.views) <= WEIGHED_ALL_MAX:
             return self.views
         chosen = {
-            server_id: self.by_id[server_id] for server_id in gains if server_id in self.by_id
+            server_id: self.by_id[server_id] for server_id in at_hand if server_id in self.by_id
         }
         for view in (*self._near.take(SAMPLED_NEAR), *self._far.take(SAMPLED_FAR)):
             chosen[view.server.server_id] = view
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -140,7 +140,7 @@
     work_ms = max(1.0, elapsed_ms - round_trip_ms)
     usual = work_time(state, route)
     attempt.view.note_speed(work_ms / max(1.0, usual.full_ms * (1 - attempt.gain)))
-    usual.note(work_ms, attempt.gain)
+    usual.note(work_ms, attempt.place, attempt.gain)
 
 
 def _suspect(state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float) -> None:
--- a/rhubarbspar/gateway/placement.py
+++ b/rhubarbspar/gateway/placement.py
@@ -3,9 +3,12 @@
 Pattern: constraint filtering, then shortest expected delay with prices.
 """
 
+import dataclasses
 import functools
+import typing
 from collections import abc
 
+from rhubarbspar.gateway import affinity
 from rhubarbspar.gateway import groups
 from rhubarbspar.gateway import outcomes
 from rhubarbspar.gateway import overload
@@ -13,7 +16,18 @@
 from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
 
-_ANYWHERE: frozenset[str] = frozenset()
+_ANYWHERE: typing.Final[frozenset[str]] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Expected:
+    """Why a server has an object at hand, and the part of the work that this saves."""
+
+    place: affinity.Place
+    gain: float
+
+
+_NOWHERE: typing.Final = _Expected(affinity.Place.NONE, 0)
 
 
 def choose(
@@ -23,13 +37,17 @@
     if not state.shares.longer.total:
         state.shares.seed(_region_slots(state), state.network.region, now_ms)
     group = _version_group(state, pending, now_ms)
-    gains = _gains(state, pending, group, now_ms)
+    at_hand = _at_hand(state, pending, group, now_ms)
+    gains = {server_id: expected.gain for server_id, expected in at_hand.items()}
     conditions = _conditions(state, pending, group, gains, now_ms)
     choice = selection.choose(_untried(pending, group.weighed(gains)), conditions)
     if choice is None or choice.view.ejected_until_ms > now_ms:
         # No usable server is among those that were compared; another one may be.
-        return selection.choose(_untried(pending, group.views), conditions)
-    return choice
+        choice = selection.choose(_untried(pending, group.views), conditions)
+    if choice is None:
+        return None
+    expected = at_hand.get(choice.view.server.server_id, _NOWHERE)
+    return dataclasses.replace(choice, place=expected.place)
 
 
 def is_overloaded(
@@ -120,21 +138,23 @@
     )
 
 
-def _gains(
+def _at_hand(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
     group: groups.ServerGroup,
     now_ms: float,
-) -> abc.Mapping[str, float]:
-    """Return the part of the work that each server is expected to save for the request's object."""
+) -> dict[str, _Expected]:
+    """Return the servers that are expected to have the request's object at hand."""
     object_key = pending.request.object_key
     if object_key is None or not pending.route.sticky:
         return {}
-    gains = dict(group.preferred(object_key))
+    gains = outcomes.work_time(state, pending.route).gains
+    places = group.preferred(object_key).items()
+    found = {server_id: _Expected(place, gains.at(place)) for server_id, place in places}
     for server_id, recent in state.object_memory.gains(object_key, now_ms):
-        if server_id in group.by_id:
-            gains[server_id] = max(recent, gains.get(server_id, 0))
-    return gains
+        if server_id in group.by_id and recent > found.get(server_id, _NOWHERE).gain:
+            found[server_id] = _Expected(affinity.Place.RECENT, recent)
+    return found
 
 
 def _region_slots(state: gateway_state.State) -> dict[str, float]:
--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -2,7 +2,9 @@
 
 Pattern: token bucket divided by demand. Every instance fills its bucket at the account's rate less what the
 others are assumed to admit by their shares of the demand, and takes its share of each error of that
-assumption when they report. A silent instance is assumed to go on with its last share.
+assumption when they report. Beside it, every instance estimates the bucket of the whole fleet; while that one
+is far from empty, a request without a token of its own is admitted too. The demand at a silent instance is
+assumed to grow as it does here.
 """
 
 import dataclasses
@@ -14,8 +16,15 @@
 
 # Reports are one heartbeat old; the part of the burst beyond this is kept for what they miss.
 BURST_USED: typing.Final = 0.6
-# An instance may use this part of the burst although its share of the demand is smaller.
-SHARE_MIN: typing.Final = 0.25
+# An instance may use this many times an equal part of the burst although its share of the demand is smaller.
+EQUAL_PARTS_MIN: typing.Final = 1.5
+SHARE_MIN_MAX: typing.Final = 0.25
+# Requests are admitted without a token of the instance while the fleet has this part of the burst left.
+FLEET_RESERVE: typing.Final = 0.3
+# The estimate of the fleet's bucket holds at most this part of the burst.
+FLEET_BURST_USED: typing.Final = 0.8
+# A peer that was not heard for this long is silent: three heartbeats of a small fleet and a pause.
+SILENT_MS: typing.Final = 2500
 # Time constant of the demand.
 DEMAND_WINDOW_MS: typing.Final = 2000
 # A smaller demand, in requests a second, is reported as none.
@@ -43,10 +52,20 @@
 
 @dataclasses.dataclass(slots=True)
 class _Peer:
-    """A peer's last report, by account."""
+    """A peer's last report, by account.
+
+    Attributes
+    ----------
+    greeted
+        Whether a whole report of the peer was heard.
+    silent
+        Whether the peer has not been heard for a while.
+    """
 
     incarnation: str
     heard_ms: float
+    greeted: bool = False
+    silent: bool = False
     uses: dict[str, _PeerUse] = dataclasses.field(default_factory=dict)
 
 
@@ -75,10 +94,18 @@
     ----------
     rate_per_s, burst
         The account's limits at its last request; no limits before the first one.
+    tokens
+        What this instance may admit.
+    fleet_tokens
+        Estimate of what all instances together may admit.
     filled_ms
         Time up to which the tokens are filled; infinitely long ago before the first request.
     others_per_s
         Demand that the peers report.
+    silent_per_s
+        The last demand reported by peers that are silent now.
+    known_per_s
+        Demand at this instance when the first of them fell silent.
     assumed_s
         Seconds for which the peers were assumed to admit their whole demand; a second in which a part of
         the demand is admitted counts as that part.
@@ -89,44 +116,83 @@
     rate_per_s: float = 0
     burst: float = 0
     tokens: float = 0
+    fleet_tokens: float = 0
     filled_ms: float = -math.inf
     admitted: int = 0
     demand: _Demand = dataclasses.field(default_factory=_Demand)
     others_per_s: float = 0
+    silent_per_s: float = 0
+    known_per_s: float = 0
     assumed_s: float = 0
     reported: messages.AccountUse | None = None
 
-    def fill(self, now_ms: float) -> None:
+    def fill(self, now_ms: float, share_min: float) -> None:
         """Add the tokens of the time that has passed, less what the peers are assumed to use."""
         if self.filled_ms == -math.inf:
             return
         elapsed_s = max(0.0, now_ms - self.filled_ms) / _MS_PER_S
         self.filled_ms = now_ms
-        demand_per_s = self.demand.at(now_ms) + self.others_per_s
+        others_per_s = self._others_at(now_ms)
+        demand_per_s = self.demand.at(now_ms) + others_per_s
         admitted_part = min(1.0, self.rate_per_s / max(1.0, demand_per_s))
         self.assumed_s += admitted_part * elapsed_s
-        self.tokens += (self.rate_per_s - self.others_per_s * admitted_part) * elapsed_s
-        self.tokens = min(self.tokens, self.capacity(now_ms))
+        gained = (self.rate_per_s - others_per_s * admitted_part) * elapsed_s
+        self.tokens = min(self.tokens + gained, self._capacity(now_ms, share_min))
+        self.fleet_tokens = min(self.fleet_tokens + gained, self.burst * FLEET_BURST_USED)
 
-    def start(self, now_ms: float) -> None:
+    def start(self, now_ms: float, share_min: float) -> None:
         """Fill the bucket at the first request of the account."""
-        if self.filled_ms == -math.inf:
-            self.tokens = min(self.tokens, 0) + self.capacity(now_ms)
-            self.filled_ms = now_ms
+        if self.filled_ms != -math.inf:
+            return
+        self.filled_ms = now_ms
+        self.tokens = self._capacity(now_ms, share_min)
+        if self._others_at(now_ms) < self.rate_per_s:
+            self.fleet_tokens = self.burst * FLEET_BURST_USED
+
+    def take(self) -> bool:
+        """Take a token; return whether there was one, here or in the fleet."""
+        if self.tokens < 1 and self.fleet_tokens < max(1.0, self.burst * FLEET_RESERVE):
+            return False
+        self.tokens -= 1
+        self.fleet_tokens -= 1
+        self.admitted += 1
+        return True
 
     def correct(self, excess: float, now_ms: float) -> None:
         """Take this instance's share of what a peer admitted beyond the assumption, or left."""
-        self.tokens -= excess * self._share(now_ms)
-
-    def capacity(self, now_ms: float) -> float:
+        if self.filled_ms == -math.inf:
+            return
+        self.tokens -= excess * self._share(now_ms, without_demand=0)
+        self.fleet_tokens -= excess
+
+    def silence(self, demand_per_s: float, now_ms: float) -> None:
+        """Note that a peer with some demand fell silent."""
+        if not self.silent_per_s:
+            self.known_per_s = self.demand.at(now_ms)
+        self.others_per_s = max(0.0, self.others_per_s - demand_per_s)
+        self.silent_per_s += demand_per_s
+
+    def unsilence(self, demand_per_s: float) -> None:
+        """Note that a silent peer is heard again, or no longer counts."""
+        self.silent_per_s = max(0.0, self.silent_per_s - demand_per_s)
+
+    def _others_at(self, now_ms: float) -> float:
+        """Return the demand at the peers; that of the silent ones grows as it does here."""
+        if not self.silent_per_s:
+            return self.others_per_s
+        growth = self.demand.at(now_ms) / max(DEMAND_MIN_PER_S, self.known_per_s)
+        return self.others_per_s + self.silent_per_s * max(1.0, growth)
+
+    def _capacity(self, now_ms: float, share_min: float) -> float:
         """Return the part of the burst that this instance may use at once."""
-        share = max(SHARE_MIN, self._share(now_ms))
+        share = max(share_min, self._share(now_ms, without_demand=1))
         return max(1.0, self.burst * BURST_USED * share)
 
-    def _share(self, now_ms: float) -> float:
-        """Return this instance's share of the demand, 1 without any."""
+    def _share(self, now_ms: float, *, without_demand: float) -> float:
+        """Return this instance's share of the demand, or a given value if there is none."""
         own = self.demand.at(now_ms)
-        return own / (own + self.others_per_s) if own + self.others_per_s else 1
+        total = own + self._others_at(now_ms)
+        return own / total if total else without_demand
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,15 +216,13 @@
         bucket = self._bucket(account.account_id)
         bucket.rate_per_s = account.rate_per_s
         bucket.burst = account.burst
-        bucket.start(now_ms)
+        bucket.start(now_ms, self._share_min)
         bucket.demand.note(now_ms)
-        bucket.fill(now_ms)
-        if bucket.tokens < 1:
-            missing = 1 - bucket.tokens
-            return max(RETRY_AFTER_MIN_MS, missing / account.rate_per_s * _MS_PER_S)
-        bucket.tokens -= 1
-        bucket.admitted += 1
-        return None
+        bucket.fill(now_ms, self._share_min)
+        if bucket.take():
+            return None
+        missing = 1 - bucket.tokens
+        return max(RETRY_AFTER_MIN_MS, missing / account.rate_per_s * _MS_PER_S)
 
     def report(self, now_ms: float) -> tuple[messages.AccountUse, ...]:
         """Return what this instance has admitted, for its peers."""
@@ -180,38 +244,58 @@
 
     def hear(self, peer_id: str, heartbeat: messages.Heartbeat, now_ms: float) -> None:
         """Correct the assumptions about a peer; accounts that it leaves out have not changed."""
-        peer = self.peers.get(peer_id)
-        known_incarnation = peer is not None and peer.incarnation == heartbeat.incarnation
-        if peer is None or not known_incarnation:
-            self._forget(peer_id, now_ms)
-            peer = _Peer(heartbeat.incarnation, now_ms)
-            self.peers[peer_id] = peer
-        peer.heard_ms = now_ms
+        peer = self._heard_peer(peer_id, heartbeat.incarnation, now_ms)
         named = {use.account_id for use in heartbeat.accounts}
         for account_id, known in peer.uses.items():
             if account_id not in named and known.demand_per_s:
                 self._correct(account_id, known, known.admitted, now_ms)
         for use in heartbeat.accounts:
-            known_use = peer.uses.get(use.account_id)
-            if known_use is None:
-                # Admissions before this instance knew the peer are not held against the bucket.
-                previous = 0 if known_incarnation else use.admitted
-                known_use = _PeerUse(previous, 0, self._bucket(use.account_id).assumed_s)
-                peer.uses[use.account_id] = known_use
-            self._correct(use.account_id, known_use, use.admitted, now_ms)
-            bucket = self.buckets[use.account_id]
-            bucket.others_per_s += use.demand_per_s - known_use.demand_per_s
-            known_use.demand_per_s = use.demand_per_s
+            self._take(peer, use, now_ms)
+        peer.greeted = True
 
     def expire(self, now_ms: float) -> None:
-        """Forget the peers that have been silent for too long."""
+        """Note which peers have fallen silent, and forget those that stay silent for too long."""
         for peer_id, peer in tuple(self.peers.items()):
-            if now_ms - peer.heard_ms > REPORT_KEPT_MS:
+            silent_ms = now_ms - peer.heard_ms
+            if silent_ms > SILENT_MS and not peer.silent:
+                peer.silent = True
+                for account_id, use in peer.uses.items():
+                    self._filled(account_id, now_ms).silence(use.demand_per_s, now_ms)
+            if silent_ms > REPORT_KEPT_MS:
                 self._forget(peer_id, now_ms)
 
+    @property
+    def _share_min(self) -> float:
+        return min(SHARE_MIN_MAX, EQUAL_PARTS_MIN / (1 + len(self.peers)))
+
+    def _heard_peer(self, peer_id: str, incarnation: str, now_ms: float) -> _Peer:
+        peer = self.peers.get(peer_id)
+        if peer is None or peer.incarnation != incarnation:
+            self._forget(peer_id, now_ms)
+            peer = _Peer(incarnation, now_ms)
+            self.peers[peer_id] = peer
+        elif peer.silent:
+            peer.silent = False
+            for account_id, use in peer.uses.items():
+                bucket = self._filled(account_id, now_ms)
+                bucket.unsilence(use.demand_per_s)
+                bucket.others_per_s += use.demand_per_s
+        peer.heard_ms = now_ms
+        return peer
+
+    def _take(self, peer: _Peer, use: messages.AccountUse, now_ms: float) -> None:
+        known = peer.uses.get(use.account_id)
+        if known is None:
+            # Admissions before this instance knew the peer are not held against the bucket.
+            previous = 0 if peer.greeted else use.admitted
+            known = _PeerUse(previous, 0, self._bucket(use.account_id).assumed_s)
+            peer.uses[use.account_id] = known
+        self._correct(use.account_id, known, use.admitted, now_ms)
+        self.buckets[use.account_id].others_per_s += use.demand_per_s - known.demand_per_s
+        known.demand_per_s = use.demand_per_s
+
     def _correct(self, account_id: str, known: _PeerUse, admitted: int, now_ms: float) -> None:
-        bucket = self._bucket(account_id)
-        bucket.fill(now_ms)
+        bucket = self._filled(account_id, now_ms)
         assumed = known.demand_per_s * (bucket.assumed_s - known.assumed_from_s)
         bucket.correct(admitted - known.admitted - assumed, now_ms)
         known.admitted = admitted
@@ -222,9 +306,16 @@
         if peer is None:
             return
         for account_id, use in peer.uses.items():
-            bucket = self._bucket(account_id)
-            bucket.fill(now_ms)
-            bucket.others_per_s = max(0.0, bucket.others_per_s - use.demand_per_s)
+            bucket = self._filled(account_id, now_ms)
+            if peer.silent:
+                bucket.unsilence(use.demand_per_s)
+            else:
+                bucket.others_per_s = max(0.0, bucket.others_per_s - use.demand_per_s)
+
+    def _filled(self, account_id: str, now_ms: float) -> Bucket:
+        bucket = self._bucket(account_id)
+        bucket.fill(now_ms, self._share_min)
+        return bucket
 
     def _bucket(self, account_id: str) -> Bucket:
         bucket = self.buckets.get(account_id)
--- a/rhubarbspar/gateway/responses.py
+++ b/rhubarbspar/gateway/responses.py
@@ -99,6 +99,7 @@
         ('expected_ms', round(choice.expected_ms)),
         ('object', pending.request.object_key),
         ('gain', round(choice.gain, 2)),
+        ('place', choice.place.name.lower()),
         ('attempt', pending.sends),
     )
     return core_effects.Log('attempt_started', of(pending.request, fields))
--- a/rhubarbspar/gateway/selection.py
+++ b/rhubarbspar/gateway/selection.py
@@ -10,6 +10,7 @@
 import typing
 from collections import abc
 
+from rhubarbspar.gateway import affinity
 from rhubarbspar.gateway import servers
 
 # Requests that fit into a slot still slow each other; part of the work at full slots.
@@ -62,6 +63,8 @@
         Part of the expected time that the request waits for a slot.
     cost_ms
         What the choice compares: the expected time with the prices of distance, failures and work.
+    place
+        Why the server is expected to have the object at hand.
     """
 
     view: servers.ServerView
@@ -70,6 +73,7 @@
     cost_ms: float
     gain: float
     load: float
+    place: affinity.Place = affinity.Place.NONE
 
 
 def choose(candidates: abc.Sequence[servers.ServerView], conditions: Conditions) -> Choice | None:
@@ -109,14 +113,20 @@
         Without the object at hand.
     mean_ms
         Average over all requests.
+    gains
+        What the places of objects save.
     """
 
     full_ms: float
     mean_ms: float
+    gains: affinity.Gains = dataclasses.field(default_factory=affinity.Gains)
 
-    def note(self, elapsed_ms: float, gain: float) -> None:
-        """Average a response that met no queue."""
+    def note(self, elapsed_ms: float, place: affinity.Place, gain: float) -> None:
+        """Average a response that met no queue, at a server where a gain was expected."""
         self.mean_ms += (elapsed_ms - self.mean_ms) * WORK_WEIGHT
+        if place in affinity.PREFERRED_GAINS:
+            self.gains.note(place, 1 - elapsed_ms / self.full_ms)
+            return
         self.full_ms += (elapsed_ms / (1 - gain) - self.full_ms) * WORK_WEIGHT
 
 
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -53,6 +53,8 @@
     ----------
     gain
         Part of the work that the server was expected to save.
+    place
+        Why it was expected to.
     waited
         Whether the server's slots were taken, so that its time says nothing about the work.
     subject
@@ -65,6 +67,7 @@
     started_ms: float
     expected_ms: float
     gain: float
+    place: affinity.Place
     waited: bool
     subject: rollout_state.Subject | None
 
