--- a/rhubarbspar/gateway/affinity.py
+++ b/rhubarbspar/gateway/affinity.py
@@ -93,20 +93,21 @@
 
     def note(self, place: Place, saved_part: float) -> None:
         """Average what a response shows."""
-        if place in PREFERRED_GAINS:
-            bounded = min(GAIN_MAX, max(0.0, saved_part))
-            known = self.learnt.setdefault(place, PREFERRED_GAINS[place])
-            self.learnt[place] = known + (bounded - known) * GAIN_WEIGHT
+        assumed = PREFERRED_GAINS.get(place)
+        if assumed is None:
+            return
+        bounded = min(GAIN_MAX, max(0.0, saved_part))
+        known = self.learnt.get(place, assumed)
+        self.learnt[place] = known + (bounded - known) * GAIN_WEIGHT
 
     def at(self, place: Place) -> float:
         """Return the expected part, at least what is assumed without responses.
 
         The least part keeps the requests of an object together while it is at hand nowhere yet.
         """
-        if place not in PREFERRED_GAINS:
-            return 0
-        least = PREFERRED_GAINS[place]
-        return max(least, self.learnt.get(place, least))
+        least = PREFERRED_GAINS.get(place, 0)
+        known = self.learnt.get(place, least)
+        return max(least, known)
 
 
 def preferred(
--- a/rhubarbspar/gateway/groups.py
+++ b/rhubarbspar/gateway/groups.py
@@ -11,6 +11,7 @@
 from collections import abc
 
 from rhubarbspar.gateway import affinity
+from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import servers
 
 # In a group up to this size every server is weighed; the choice costs some microseconds a server.
@@ -20,7 +21,8 @@
 SAMPLED_FAR: typing.Final = 6
 # The load of a whole group is summed up anew after this time.
 SUMMARY_INTERVAL_MS: typing.Final = 100
-# Usual queue of the other instances, by the reports of all servers of a group.
+# Usual queue of the other instances, by the reports of the servers in a region that are not older than this.
+USUAL_REPORT_MS: typing.Final = 2000
 USUAL_OTHERS_MAX: typing.Final = 8.0
 _UNKNOWN_OTHERS: typing.Final = 1.0
 
@@ -41,13 +43,13 @@
     Attributes
     ----------
     usual_others
-        Requests of other instances that a server usually has.
+        Requests of other instances that a server usually has, by region.
     per_slot
         Requests at the servers, divided by their slots.
     """
 
     computed_ms: float
-    usual_others: float
+    usual_others: abc.Mapping[str, float]
     per_slot: float
 
 
@@ -58,20 +60,20 @@
     ----------
     views
         The servers.
-    is_near
-        Whether a failure domain lies in the own region.
+    network
+        Regions of the failure domains, and the own one.
     """
 
     def __init__(
-        self, views: abc.Iterable[servers.ServerView], is_near: abc.Callable[[str], bool]
+        self, views: abc.Iterable[servers.ServerView], network: selection.NetworkTimes
     ) -> None:
         """Index the servers."""
         self.views = tuple(views)
         self.by_id = {view.server.server_id: view for view in self.views}
         self.versions = collections.Counter(view.server.version for view in self.views)
-        self._is_near = is_near
-        near = [view for view in self.views if is_near(view.server.failure_domain)]
-        far = [view for view in self.views if not is_near(view.server.failure_domain)]
+        self._network = network
+        near = [view for view in self.views if network.is_near(view.server.failure_domain)]
+        far = [view for view in self.views if not network.is_near(view.server.failure_domain)]
         self._near = _Rotation(near)
         self._far = _Rotation(far)
         self._by_version: dict[str, ServerGroup] = {}
@@ -85,7 +87,7 @@
         known = self._by_version.get(version)
         if known is None:
             views = [view for view in self.views if view.server.version == version]
-            known = ServerGroup(views, self._is_near)
+            known = ServerGroup(views, self._network)
             self._by_version[version] = known
         return known
 
@@ -95,7 +97,7 @@
         if known is None:
             if len(self._preferred) >= affinity.MEMORY_MAX:
                 self._preferred.clear()
-            known = affinity.preferred(self.views, object_key, self._is_near)
+            known = affinity.preferred(self.views, object_key, self._network.is_near)
             self._preferred[object_key] = known
         return known
 
@@ -120,10 +122,26 @@
         """Return the load of the group."""
         summary = self._summary
         if summary is None or now_ms - summary.computed_ms >= SUMMARY_INTERVAL_MS:
-            summary = LoadSummary(now_ms, _usual_others(self.views, now_ms), self._per_slot(now_ms))
+            summary = LoadSummary(now_ms, self._usual_others(now_ms), self._per_slot(now_ms))
             self._summary = summary
         return summary
 
+    def usual_others(self, now_ms: float, failure_domain: str) -> float:
+        """Return the requests of other instances that a server in a failure domain usually has."""
+        region = self._network.regions.get(failure_domain, '')
+        return self.load(now_ms).usual_others.get(region, _UNKNOWN_OTHERS)
+
+    def _usual_others(self, now_ms: float) -> dict[str, float]:
+        reports: dict[str, list[float]] = {}
+        for view in self.views:
+            if now_ms - view.reported_ms < USUAL_REPORT_MS:
+                region = self._network.regions.get(view.server.failure_domain, '')
+                reports.setdefault(region, []).append(view.others)
+        return {
+            region: min(USUAL_OTHERS_MAX, sum(known) / len(known))
+            for region, known in reports.items()
+        }
+
     def _per_slot(self, now_ms: float) -> float:
         slots = sum(view.slots for view in self.views)
         load = sum(view.load_at(now_ms, view.slots) for view in self.views)
@@ -161,10 +179,3 @@
     def take(self, count: int) -> abc.Iterable[servers.ServerView]:
         """Return the next members, each at most once."""
         return itertools.islice(self._cycle, min(count, self._size))
-
-
-def _usual_others(views: abc.Iterable[servers.ServerView], now_ms: float) -> float:
-    reports = [view.others for view in views if now_ms - view.reported_ms < servers.REPORT_DECAY_MS]
-    if not reports:
-        return _UNKNOWN_OTHERS
-    return min(USUAL_OTHERS_MAX, sum(reports) / len(reports))
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -92,7 +92,8 @@
     match ended.result:
         case events.AttemptResult.ANSWERED if ended.status < const.STATUS_SERVER_ERROR:
             view.note_success(now_ms)
-            _note_work(state, attempt, now_ms)
+            if not (attempt.waited or _is_busy(ended.load)):
+                _note_work(state, attempt, now_ms)
             return []
         case events.AttemptResult.NOT_RUN:
             view.answered_ms = now_ms
@@ -132,7 +133,7 @@
 def _note_work(state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float) -> None:
     """Learn the usual time of the route and the server's speed from a response without queue."""
     pending = state.pending.get(attempt.number)
-    if pending is None or attempt.waited:
+    if pending is None:
         return
     route = pending.route
     elapsed_ms = now_ms - attempt.started_ms
@@ -143,6 +144,11 @@
     usual.note(work_ms, attempt.place, attempt.gain)
 
 
+def _is_busy(load: events.LoadReport | None) -> bool:
+    """Return whether requests wait at a server, so that its time says little about the work."""
+    return load is not None and load.waiting > 0
+
+
 def _suspect(state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float) -> None:
     pending = state.pending.get(attempt.number)
     if pending is None:
--- a/rhubarbspar/gateway/placement.py
+++ b/rhubarbspar/gateway/placement.py
@@ -100,7 +100,7 @@
             for view in state.servers.of_service(pending.service_id)
             if _is_permitted(state, key, view)
         ]
-        group = groups.ServerGroup(views, state.network.is_near)
+        group = groups.ServerGroup(views, state.network)
         state.groups.groups[key] = group
     return group
 
@@ -125,16 +125,15 @@
     now_ms: float,
 ) -> selection.Conditions:
     usual = outcomes.work_time(state, pending.route)
-    load = group.load(now_ms)
     return selection.Conditions(
         now_ms,
         usual.full_ms,
         usual.mean_ms,
-        load.usual_others,
+        functools.partial(group.usual_others, now_ms),
         state.network.round_trip_ms,
         functools.partial(_distance_ms, state, usual.full_ms),
         gains,
-        overload.pressure(load.per_slot),
+        overload.pressure(group.load(now_ms).per_slot),
     )
 
 
--- a/rhubarbspar/gateway/selection.py
+++ b/rhubarbspar/gateway/selection.py
@@ -32,7 +32,7 @@
     mean_ms
         Average time of all requests of the route, for those that wait before this one.
     usual_others
-        Requests of other instances that a server of the service usually has.
+        Requests of other instances that a server in a failure domain usually has.
     round_trip_ms
         Round trip to each failure domain.
     distance_ms
@@ -46,7 +46,7 @@
     now_ms: float
     work_ms: float
     mean_ms: float
-    usual_others: float
+    usual_others: abc.Callable[[str], float]
     round_trip_ms: abc.Callable[[str], float]
     distance_ms: abc.Callable[[str], float]
     gains: abc.Mapping[str, float]
@@ -90,7 +90,7 @@
 def _weigh(view: servers.ServerView, conditions: Conditions) -> Choice:
     now_ms = conditions.now_ms
     gain = conditions.gains.get(view.server.server_id, 0)
-    load = view.load_at(now_ms, conditions.usual_others)
+    load = view.load_at(now_ms, conditions.usual_others(view.server.failure_domain))
     work_ms = conditions.work_ms * view.speed * (1 - gain)
     if view.is_cold(now_ms):
         work_ms *= COLD_FACTOR
--- a/rhubarbspar/gateway/shifts.py
+++ b/rhubarbspar/gateway/shifts.py
@@ -13,9 +13,9 @@
 RECENT_MS: typing.Final = 1200
 LONGER_MS: typing.Final = 4000
 # Excess of the recent share that random variation explains.
-TOLERATED: typing.Final = 0.05
+TOLERATED: typing.Final = 0.04
 # Cost of the whole excess, in units of the usual work.
-EXCESS_COST: typing.Final = 8.0
+EXCESS_COST: typing.Final = 16.0
 # Requests that the recent average has to hold before it says anything.
 REQUESTS_MIN: typing.Final = 8.0
 # Weight of the assumed shares at the start.
--- a/tests/gateway/test_groups.py
+++ b/tests/gateway/test_groups.py
@@ -2,7 +2,10 @@
 
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import groups
+from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import outcomes
+from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import servers
 from tests.gateway import conftest
 
@@ -18,7 +21,8 @@
         )
         for number in range(count)
     ]
-    return groups.ServerGroup(views, lambda domain: domain == 'almaty-a')
+    network = selection.NetworkTimes('almaty-a', 'almaty', conftest.REGIONS)
+    return groups.ServerGroup(views, network)
 
 
 def test_small_group_is_weighed_whole():
@@ -91,3 +95,29 @@
     sound.ejected_until_ms = 0
     started = conftest.only(gateway.request(), effects.StartAttempt)
     assert started.server.server_id == sound.server.server_id
+
+
+def test_usual_load_is_that_of_the_region():
+    """Guards against a region that is taken for full because the own one is."""
+    known = group(4)
+    for view in known.views[::2]:
+        view.take_report(events.LoadReport(3, 4, 3), 0)
+    for view in known.views[1::2]:
+        view.take_report(events.LoadReport(1, 0, 3), 0)
+    assert known.usual_others(0, 'almaty-a') == 7
+    assert known.usual_others(0, 'astana-a') == 1
+
+
+def test_time_at_a_server_with_a_queue_says_nothing_about_the_work(gateway):
+    """Guards against work that is taken for long everywhere because one region has queues."""
+    usual = outcomes.work_time(gateway.state, conftest.READS).mean_ms
+    for waiting in (2, 0):
+        # Old reports say nothing of the load any more.
+        gateway.now_ms += 10_000
+        started = conftest.only(gateway.request(), effects.StartAttempt)
+        gateway.now_ms += 900
+        load = events.LoadReport(3, waiting, 3)
+        answered = events.AttemptResult.ANSWERED
+        gateway.reduce(conftest.ended(started, answered, status=200, load=load))
+        learnt = outcomes.work_time(gateway.state, conftest.READS).mean_ms
+        assert (learnt == usual) == bool(waiting)
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -19,7 +19,7 @@
         'now_ms': 0,
         'work_ms': 200,
         'mean_ms': 200,
-        'usual_others': 0,
+        'usual_others': lambda _domain: 0.0,
         'round_trip_ms': lambda _domain: 1.0,
         'distance_ms': lambda _domain: 0.0,
         'gains': {},
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -72,10 +72,12 @@
 
 
 def _of_stops(ledger):
-    for number, code, took_s in ledger.exits:
-        calm = ledger.is_calm(0, took_s)
-        if code and calm:
-            yield f'instance {number} ended with {code} after {took_s:.1f} s'
+    for end in ledger.exits:
+        if end.stopped_s is None:
+            yield f'instance {end.instance} ended by itself with {end.code}'
+        elif end.code and ledger.is_calm(end.stopped_s, end.ended_s):
+            took_s = end.ended_s - end.stopped_s
+            yield f'instance {end.instance} ended with {end.code} after {took_s:.1f} s'
 
 
 def _of_recovery(ledger, ended_s):
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -93,11 +93,10 @@
         if code is None:
             self._reactor.callLater(0.05, self._watch, process)
             return
-        if self._stopped_s is not None:
-            took_s = self._clock_s() - self._stopped_s
-            self._ledger.exits.append((self.number, code, took_s))
-        elif not self._closing and code not in {-signal.SIGKILL, -signal.SIGTERM}:
-            self._ledger.exits.append((self.number, code, 0.0))
+        killed = code == -signal.SIGKILL and self._stopped_s is None
+        if not (killed or self._closing):
+            ended = models.Exit(self.number, code, self._stopped_s, self._clock_s())
+            self._ledger.exits.append(ended)
         self._reactor.callLater(RESTART_S, self.start)
 
     def _signal(self, number):
--- a/tests/soak/models.py
+++ b/tests/soak/models.py
@@ -71,6 +71,22 @@
     reused: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class Exit:
+    """The end of a process that was not killed by a fault.
+
+    Attributes
+    ----------
+    stopped_s
+        When its planned stop began; ``None`` if it ended by itself.
+    """
+
+    instance: int
+    code: int
+    stopped_s: float | None
+    ended_s: float
+
+
 @dataclasses.dataclass
 class Ledger:
     """All that callers, backend servers and the operator have seen.
@@ -85,8 +101,6 @@
         When the store accepted that a key no longer holds, by key.
     stops_s
         When a planned stop of an instance began.
-    exits
-        Exit codes of planned stops, and how long they took, by instance.
     """
 
     sent: dict[str, Sent] = dataclasses.field(default_factory=dict)
@@ -95,7 +109,7 @@
     draining_s: dict[str, float] = dataclasses.field(default_factory=dict)
     revoked_s: dict[str, float] = dataclasses.field(default_factory=dict)
     stops_s: list[tuple[int, float]] = dataclasses.field(default_factory=list)
-    exits: list[tuple[int, int, float]] = dataclasses.field(default_factory=list)
+    exits: list[Exit] = dataclasses.field(default_factory=list)
 
     def is_calm(self, since_s: float, until_s: float) -> bool:
         """Return whether no unplanned fault was under way in a span."""
