Name shared constants once; remove declared fields that nothing reads

The health path, the connection limit and the size of a body were decoded and used by nothing. No decision changes.

--- a/rhubarbspar/bench/gateway.py
+++ b/rhubarbspar/bench/gateway.py
@@ -87,7 +87,7 @@
     route = gateway_models.Route(
         'route', 'host', '/', True, 1000, OBJECTIVE_MS, 0, target, 2, public=True, sticky=True
     )
-    service = gateway_models.Service('service', '/', 0, 0, 0)
+    service = gateway_models.Service('service', 0, 0)
     state.declared.configuration = gateway_models.make_configuration(1, [route], [service], [])
     for number in range(servers):
         state.servers.declare(_server(number), NOW_MS)
--- a/rhubarbspar/gateway/admission.py
+++ b/rhubarbspar/gateway/admission.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from rhubarbspar import const as package_const
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import state as gateway_state
@@ -43,16 +44,16 @@
     configuration = state.declared.configuration
     if configuration is None:
         return Refusal(
-            const.STATUS_UNAVAILABLE, const.REASON_NO_CONFIGURATION, START_RETRY_AFTER_MS
+            const.STATUS_UNAVAILABLE, package_const.REASON_NO_CONFIGURATION, START_RETRY_AFTER_MS
         )
     if now_ms - state.lifecycle.stop_ms > const.STOP_REFUSE_MS:
         return Refusal(const.STATUS_UNAVAILABLE, const.REASON_STOPPING, STOP_RETRY_AFTER_MS)
     route = find_route(configuration, request.host, request.path)
     if route is None:
-        return Refusal(const.STATUS_NOT_FOUND, const.REASON_UNKNOWN_ROUTE)
+        return Refusal(const.STATUS_NOT_FOUND, package_const.REASON_UNKNOWN_ROUTE)
     account = configuration.accounts_by_key.get(request.access_key or '')
     if account is None and configuration.has_accounts and not route.public:
-        return Refusal(const.STATUS_UNAUTHORIZED, const.REASON_KEY_UNKNOWN)
+        return Refusal(const.STATUS_UNAUTHORIZED, package_const.REASON_KEY_UNKNOWN)
     return _admit_account(state, request, Admitted(route, account), now_ms)
 
 
@@ -67,7 +68,7 @@
 ) -> Admitted | Refusal:
     account = admitted.account
     if state.crashes.is_refused(crash_fingerprint(request, account), now_ms):
-        return Refusal(const.STATUS_UNAVAILABLE, const.REASON_CRASHES_SERVERS)
+        return Refusal(const.STATUS_UNAVAILABLE, package_const.REASON_CRASHES_SERVERS)
     if account is None:
         return admitted
     wait_ms = state.quotas.admit(account, now_ms)
--- a/rhubarbspar/gateway/const.py
+++ b/rhubarbspar/gateway/const.py
@@ -2,10 +2,6 @@
 
 import typing
 
-MS_PER_S: typing.Final = 1000
-
-TICK_INTERVAL_MS: typing.Final = 50
-
 # A heartbeat to every peer; large fleets send less often so that the cost per instance stays flat.
 HEARTBEAT_INTERVAL_MS: typing.Final = 500
 HEARTBEAT_INTERVAL_PER_PEER_MS: typing.Final = 15
@@ -36,22 +32,11 @@
 STATUS_GATEWAY_TIMEOUT: typing.Final = 504
 
 REASON_ACCOUNT_OVER_RATE: typing.Final = 'account_over_rate'
-REASON_CRASHES_SERVERS: typing.Final = 'crashes_servers'
-REASON_DEADLINE_EXCEEDED: typing.Final = 'deadline_exceeded'
-REASON_KEY_UNKNOWN: typing.Final = 'key_unknown'
-REASON_NO_CONFIGURATION: typing.Final = 'no_configuration'
-REASON_NO_SERVER: typing.Final = 'no_server'
-REASON_OUTCOME_UNKNOWN: typing.Final = 'outcome_unknown'
 REASON_OVERLOADED: typing.Final = 'overloaded'
 REASON_SERVERS_FULL: typing.Final = 'servers_full'
 REASON_STOPPING: typing.Final = 'stopping'
-REASON_UNKNOWN_ROUTE: typing.Final = 'unknown_route'
-
 METRIC_ATTEMPTS: typing.Final = 'attempts'
-METRIC_EVENTS: typing.Final = 'events'
-METRIC_REFUSALS: typing.Final = 'refusals'
 METRIC_REQUESTS: typing.Final = 'requests'
-METRIC_RETRIES: typing.Final = 'retries'
 METRIC_LATENCY: typing.Final = 'latency'
 
 PHASE_RUNNING: typing.Final = 'running'
--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -14,12 +14,12 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from rhubarbspar import const as package_const
 from rhubarbspar import exceptions
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import backends
 from rhubarbspar.gateway import callers
-from rhubarbspar.gateway import const
 from rhubarbspar.gateway import driver as effect_driver
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import initial_state
@@ -41,7 +41,7 @@
 
 def clock_ms() -> float:
     """Return the time since the machine's start in milliseconds; it counts while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * const.MS_PER_S
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * package_const.MS_PER_S
 
 
 class Daemon:
@@ -84,7 +84,7 @@
     def start(self) -> None:
         """Open the listeners and start the tasks; call it with the reactor running."""
         self._listeners.open(self._settings)
-        self._repeat(const.TICK_INTERVAL_MS / const.MS_PER_S, self._tick)
+        self._repeat(package_const.TICK_INTERVAL_MS / package_const.MS_PER_S, self._tick)
         self._repeat(_SWEEP_INTERVAL_S, self._sweep)
         self._repeat(_SETTINGS_INTERVAL_S, self._check_settings)
         for coroutine in (self._store.follow(), self._store.register(), self._meet_peers()):
@@ -134,7 +134,7 @@
 
     def _tick(self) -> None:
         now_ms = clock_ms()
-        paused_ms = max(0.0, now_ms - self._ticked_ms - const.TICK_INTERVAL_MS)
+        paused_ms = max(0.0, now_ms - self._ticked_ms - package_const.TICK_INTERVAL_MS)
         self._ticked_ms = now_ms
         self._store.continue_from(self._state.mirror.revision)
         self._driver.deliver(events.ClockTicked(paused_ms))
--- a/rhubarbspar/gateway/declarations.py
+++ b/rhubarbspar/gateway/declarations.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from rhubarbspar import const as package_const
 from rhubarbspar import exceptions
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import effects
@@ -192,7 +193,4 @@
     if service is None or service.cold_rate_per_s <= 0:
         return _NO_COLD_MS
     instances = 1 + len(state.fleet.peers)
-    return instances / service.cold_rate_per_s * _MS_PER_S
-
-
-_MS_PER_S: typing.Final = 1000
+    return instances / service.cold_rate_per_s * package_const.MS_PER_S
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -5,6 +5,7 @@
 
 import typing
 
+from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import admission
 from rhubarbspar.gateway import const
@@ -224,7 +225,7 @@
         core_effects.Log('attempt_failed', responses.of(pending.request, fields))
     ]
     if _may_repeat(state, pending, ended, now_ms):
-        outputs.append(core_effects.Count(const.METRIC_RETRIES, ended.result.value))
+        outputs.append(core_effects.Count(package_const.METRIC_RETRIES, ended.result.value))
         return outputs + _attempt(state, pending, now_ms)
     state.pending.pop(number)
     if ended.result == events.AttemptResult.ANSWERED:
@@ -232,7 +233,7 @@
     if pending.may_have_run:
         status = const.STATUS_BAD_GATEWAY
         return outputs + responses.refused(
-            state, pending.request, status, const.REASON_OUTCOME_UNKNOWN
+            state, pending.request, status, package_const.REASON_OUTCOME_UNKNOWN
         )
     return outputs + responses.unserved(state, pending, const.REASON_SERVERS_FULL)
 
@@ -263,8 +264,10 @@
     state.pending.pop(pending.request.number)
     if pending.may_have_run:
         status = const.STATUS_BAD_GATEWAY
-        return responses.refused(state, pending.request, status, const.REASON_OUTCOME_UNKNOWN)
-    return responses.unserved(state, pending, const.REASON_NO_SERVER)
+        return responses.refused(
+            state, pending.request, status, package_const.REASON_OUTCOME_UNKNOWN
+        )
+    return responses.unserved(state, pending, package_const.REASON_NO_SERVER)
 
 
 def _cancel_current(
@@ -291,7 +294,7 @@
     state.pending.pop(number)
     status = const.STATUS_GATEWAY_TIMEOUT
     return outputs + responses.refused(
-        state, pending.request, status, const.REASON_DEADLINE_EXCEEDED
+        state, pending.request, status, package_const.REASON_DEADLINE_EXCEEDED
     )
 
 
@@ -331,5 +334,5 @@
     )
     outputs.append(effects.ForgetServer(view.server.server_id))
     outputs.append(core_effects.Log('server_silent', responses.of(pending.request, fields)))
-    outputs.append(core_effects.Count(const.METRIC_RETRIES, 'silent'))
+    outputs.append(core_effects.Count(package_const.METRIC_RETRIES, 'silent'))
     return outputs + _attempt(state, pending, now_ms)
--- a/rhubarbspar/gateway/driver.py
+++ b/rhubarbspar/gateway/driver.py
@@ -8,6 +8,7 @@
 import loguru
 from twisted.internet import defer
 
+from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import backends
@@ -126,7 +127,7 @@
         loguru.logger.opt(exception=error).error(
             'event={} subject={}', name, type(subject).__name__
         )
-        self.report(core_effects.Count(const.METRIC_EVENTS, name))
+        self.report(core_effects.Count(package_const.METRIC_EVENTS, name))
 
     def _log(self, effect: core_effects.Log) -> None:
         routine = effect.name in log_stream.ROUTINE_EVENTS
--- a/rhubarbspar/gateway/log_stream.py
+++ b/rhubarbspar/gateway/log_stream.py
@@ -8,7 +8,7 @@
 import os
 import typing
 
-_MS_PER_S: typing.Final = 1000
+from rhubarbspar import const as package_const
 
 # Lines of one process a second: those of usual progress, and all others.
 ROUTINE_LINES_PER_S: typing.Final = 40
@@ -30,7 +30,7 @@
 
     def take(self, now_ms: float) -> bool:
         """Return whether a line may be written; count it otherwise."""
-        gained = (now_ms - self.filled_ms) / _MS_PER_S * self.lines_per_s
+        gained = (now_ms - self.filled_ms) / package_const.MS_PER_S * self.lines_per_s
         self.tokens = min(self.lines_per_s, self.tokens + gained)
         self.filled_ms = now_ms
         if self.tokens < 1:
--- a/rhubarbspar/gateway/models.py
+++ b/rhubarbspar/gateway/models.py
@@ -59,8 +59,6 @@
     """A service; a cold backend server tolerates only ``cold_rate_per_s`` requests."""
 
     service_id: str
-    health_path: str
-    connections_max: int
     cold_ms: float
     cold_rate_per_s: float
 
@@ -233,8 +231,6 @@
         Time that the caller waits, counted from the arrival.
     fingerprint
         Digest of method, target and body.
-    body_bytes
-        Length of the body.
     """
 
     number: int
@@ -246,4 +242,3 @@
     object_key: str | None
     deadline_ms: float | None
     fingerprint: str
-    body_bytes: int = 0
--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -11,6 +11,7 @@
 import math
 import typing
 
+from rhubarbspar import const as package_const
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 
@@ -32,7 +33,6 @@
 # Reports older than this no longer count: the callers of a lost instance have moved.
 REPORT_KEPT_MS: typing.Final = 12_000
 RETRY_AFTER_MIN_MS: typing.Final = 100
-_MS_PER_S: typing.Final = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,7 +78,7 @@
 
     def note(self, now_ms: float) -> None:
         """Count a request."""
-        self.rate_per_s = self.at(now_ms) + _MS_PER_S / DEMAND_WINDOW_MS
+        self.rate_per_s = self.at(now_ms) + package_const.MS_PER_S / DEMAND_WINDOW_MS
         self.counted_ms = now_ms
 
     def at(self, now_ms: float) -> float:
@@ -130,7 +130,7 @@
         """Add the tokens of the time that has passed, less what the peers are assumed to use."""
         if self.filled_ms == -math.inf:
             return
-        elapsed_s = max(0.0, now_ms - self.filled_ms) / _MS_PER_S
+        elapsed_s = max(0.0, now_ms - self.filled_ms) / package_const.MS_PER_S
         self.filled_ms = now_ms
         others_per_s = self._others_at(now_ms)
         demand_per_s = self.demand.at(now_ms) + others_per_s
@@ -222,7 +222,7 @@
         if bucket.take():
             return None
         missing = 1 - bucket.tokens
-        return max(RETRY_AFTER_MIN_MS, missing / account.rate_per_s * _MS_PER_S)
+        return max(RETRY_AFTER_MIN_MS, missing / account.rate_per_s * package_const.MS_PER_S)
 
     def report(self, now_ms: float) -> tuple[messages.AccountUse, ...]:
         """Return what this instance has admitted, for its peers."""
--- a/rhubarbspar/gateway/responses.py
+++ b/rhubarbspar/gateway/responses.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import admission
 from rhubarbspar.gateway import const
@@ -73,7 +74,7 @@
     )
     return [
         effects.Refuse(request.number, status, reason, retry_after_ms),
-        core_effects.Count(const.METRIC_REFUSALS, reason),
+        core_effects.Count(package_const.METRIC_REFUSALS, reason),
         core_effects.Log('request_refused', of(request, fields)),
     ]
 
--- a/rhubarbspar/http1/client.py
+++ b/rhubarbspar/http1/client.py
@@ -10,6 +10,7 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from rhubarbspar import const as package_const
 from rhubarbspar.http1 import const
 from rhubarbspar.http1 import errors
 from rhubarbspar.http1 import messages
@@ -17,7 +18,6 @@
 
 Outcome: typing.TypeAlias = messages.Response | errors.HttpError
 _TIMEOUT_PARAMETER: typing.Final = re.compile(rb'timeout=(\d+)')
-_MS_PER_S: typing.Final = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,7 +122,7 @@
             self.endpoint.host,
             self.endpoint.port,
             factory,
-            timeout=connect_timeout_ms / _MS_PER_S,
+            timeout=connect_timeout_ms / package_const.MS_PER_S,
         )
 
     def close(self) -> None:
@@ -266,7 +266,7 @@
         match = _TIMEOUT_PARAMETER.search(announced)
         if match is None:
             return
-        limit_ms = int(match.group(1)) * _MS_PER_S - const.KEEP_ALIVE_MARGIN_MS
+        limit_ms = int(match.group(1)) * package_const.MS_PER_S - const.KEEP_ALIVE_MARGIN_MS
         self._idle_limit_ms = max(0, min(self._pool.idle_max_ms, limit_ms))
 
     def _fail(self, error: errors.HttpError) -> None:
--- a/rhubarbspar/platform/records.py
+++ b/rhubarbspar/platform/records.py
@@ -187,8 +187,6 @@
 def _service(row: Document) -> models.Service:
     return models.Service(
         service_id=row['name'],
-        health_path=row.get('healthPath', '/health'),
-        connections_max=row.get('maxConns', 0),
         cold_ms=durations.parse_ms(row.get('coldStart', '0ms')),
         cold_rate_per_s=float(row.get('coldPerS', 0)),
     )
--- a/rhubarbspar/platform/requests.py
+++ b/rhubarbspar/platform/requests.py
@@ -4,6 +4,7 @@
 import json
 from urllib import parse as urls
 
+from rhubarbspar import const as package_const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
@@ -19,7 +20,6 @@
     )
 )
 _LOAD_FIELDS = 3
-_MS_PER_S = 1000
 _MS_DIGITS = 3
 _FINGERPRINT_BYTES = 12
 
@@ -37,7 +37,6 @@
         object_key=_object_key(_text(request, const.HEADER_COOKIE)),
         deadline_ms=_deadline(_text(request, const.HEADER_DEADLINE_MS)),
         fingerprint=_fingerprint(request),
-        body_bytes=len(request.body),
     )
 
 
@@ -91,7 +90,7 @@
     """Return a response of this instance; its body names the reason."""
     headers: list[messages.Header] = [(b'content-type', b'application/json')]
     if refuse.retry_after_ms is not None:
-        seconds = str(round(refuse.retry_after_ms / _MS_PER_S, _MS_DIGITS))
+        seconds = str(round(refuse.retry_after_ms / package_const.MS_PER_S, _MS_DIGITS))
         headers.append((const.HEADER_RETRY_AFTER, seconds.encode()))
     body = json.dumps({'error': refuse.reason}).encode()
     return messages.Response(refuse.status, tuple(headers), body)
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -8,6 +8,7 @@
 
 from twisted.internet import defer
 
+from rhubarbspar import const as package_const
 from rhubarbspar.gateway import events
 from rhubarbspar.helpers import addresses
 from rhubarbspar.helpers import durations
@@ -21,7 +22,6 @@
 CALL_TIMEOUT_MS: typing.Final = 1500
 CONNECT_TIMEOUT_MS: typing.Final = 600
 IDLE_MAX_MS: typing.Final = 20_000
-_MS_PER_S: typing.Final = 1000
 
 
 class Store:
@@ -165,7 +165,7 @@
         call = client.Call(request, finished.callback)
         self._calls.add(call)
         self._pool.start(call, CONNECT_TIMEOUT_MS)
-        timer = self._reactor.callLater(timeout_ms / _MS_PER_S, self._time_out, call)
+        timer = self._reactor.callLater(timeout_ms / package_const.MS_PER_S, self._time_out, call)
         outcome = await finished
         self._calls.discard(call)
         if timer.active():
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -72,7 +72,7 @@
     def configure(self, *routes: models.Route, **fields: typing.Any) -> None:
         """Put a configuration in force."""
         service_ids = {target.service_id for route in routes for target in route.targets}
-        services = [models.Service(name, '/health', 330, 3000, 7) for name in service_ids]
+        services = [models.Service(name, 3000, 7) for name in service_ids]
         accounts = fields.pop('accounts', [ACCOUNT])
         version = fields.pop('version', 1)
         self.declare('config', models.make_configuration(version, routes, services, accounts))
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import const
@@ -23,7 +24,7 @@
     assert conftest.only(gateway.request(), effects.StartAttempt)
     crash(gateway, 'stock-2')
     refused = conftest.only(gateway.request(), effects.Refuse)
-    assert refused.reason == const.REASON_CRASHES_SERVERS
+    assert refused.reason == package_const.REASON_CRASHES_SERVERS
     assert conftest.only(gateway.request('/stock/2'), effects.StartAttempt)
 
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
@@ -154,11 +155,11 @@
     """Guards against a request that leaves its home regions."""
     account = dataclasses.replace(conftest.ACCOUNT, home_regions=frozenset({'astana'}))
     configuration = models.make_configuration(
-        2, [conftest.READS], [models.Service('stock', '/health', 330, 3000, 7)], [account]
+        2, [conftest.READS], [models.Service('stock', 3000, 7)], [account]
     )
     gateway.declare('config', configuration)
     refused = conftest.only(gateway.request(), effects.Refuse)
-    assert refused.reason == const.REASON_NO_SERVER
+    assert refused.reason == package_const.REASON_NO_SERVER
     gateway.add_server('stock-9', failure_domain='astana-a')
     started = conftest.only(gateway.request(), effects.StartAttempt)
     assert started.server.server_id == 'stock-9'
@@ -180,6 +181,6 @@
     """Guards against a failed request that the logs do not explain."""
     logged = conftest.only(gateway.request(access_key='stranger'), core_effects.Log)
     fields = dict(logged.fields)
-    assert fields['reason'] == const.REASON_KEY_UNKNOWN
+    assert fields['reason'] == package_const.REASON_KEY_UNKNOWN
     assert fields['configuration'] == 1
     assert fields['request'] == 'id-1'
