--- a/rhubarbspar/gateway/affinity.py
+++ b/rhubarbspar/gateway/affinity.py
@@ -1,17 +1,19 @@
 """Which backend servers are expected to have an object of a sticky route at hand.
 
-Patterns: rendezvous hashing with the servers of the own region first (Thaler and Ravishankar, 1998), and a
+Patterns: rendezvous hashing (Thaler and Ravishankar, 1998) within a region that is chosen by capacity, and a
 memory of this instance's own requests.
 """
 
 import collections
 import dataclasses
 import enum
+import itertools
 import types
 import typing
 from collections import abc
 
 from rhubarbspar.gateway import servers
+from rhubarbspar.gateway import shifts
 from rhubarbspar.helpers import rendezvous
 
 # Part of the work that a server saves which has handled the object within the last seconds.
@@ -28,13 +30,13 @@
     RECENT = enum.auto()
     FIRST = enum.auto()
     SECOND = enum.auto()
-    FAR = enum.auto()
+    OTHER = enum.auto()
 
 
 # The least part of the work that is expected to be saved at the preferred servers of an object, to which the
 # other instances send it too; responses may show that it is more.
 PREFERRED_GAINS: typing.Final = types.MappingProxyType(
-    {Place.FIRST: 0.5, Place.SECOND: 0.25, Place.FAR: 0.2}
+    {Place.FIRST: 0.5, Place.SECOND: 0.25, Place.OTHER: 0.2}
 )
 GAIN_MAX: typing.Final = 0.8
 # Weight of the newest response in the learnt gain of a place.
@@ -113,21 +115,41 @@
 def preferred(
     candidates: abc.Sequence[servers.ServerView],
     object_key: str,
-    is_near: abc.Callable[[str], bool],
+    regions: abc.Mapping[str, str],
+    own_region: str,
 ) -> dict[str, Place]:
     """Return the preferred servers of an object.
 
+    An object has its first two servers in one region: the own one for as many objects as its servers can
+    carry, another one for the rest. One server outside that region is preferred as well.
+
     Parameters
     ----------
-    is_near
-        Whether a failure domain lies in the own region.
+    regions
+        Region of each failure domain.
+    own_region
+        Region of this instance.
     """
-    near = [view.server.server_id for view in candidates if is_near(view.server.failure_domain)]
-    known = frozenset(near)
-    far = [view.server.server_id for view in candidates if view.server.server_id not in known]
-    nearest = rendezvous.rank(object_key, near)
+    by_region: dict[str, list[str]] = {}
+    slots: dict[str, float] = {}
+    for view in candidates:
+        region = regions.get(view.server.failure_domain, '')
+        by_region.setdefault(region, []).append(view.server.server_id)
+        slots[region] = slots.get(region, 0) + view.server.slots
+    home = _home_region(object_key, shifts.expected_shares(slots, own_region))
+    nearest = rendezvous.rank(object_key, by_region.pop(home, ()))
     places = dict(zip(nearest, (Place.FIRST, Place.SECOND), strict=False))
-    farthest = rendezvous.choose(object_key, far)
-    if farthest is not None:
-        places[farthest] = Place.FAR
+    other = rendezvous.choose(object_key, itertools.chain.from_iterable(by_region.values()))
+    if other is not None:
+        places[other] = Place.OTHER
     return places
+
+
+def _home_region(object_key: str, shares: abc.Mapping[str, float]) -> str:
+    """Return the region of an object; each gets its share of the objects."""
+    position = rendezvous.position(object_key)
+    for region, share in sorted(shares.items()):
+        position -= share
+        if position < 0:
+            return region
+    return max(shares, key=shares.__getitem__, default='')
--- a/rhubarbspar/gateway/groups.py
+++ b/rhubarbspar/gateway/groups.py
@@ -97,7 +97,9 @@
         if known is None:
             if len(self._preferred) >= affinity.MEMORY_MAX:
                 self._preferred.clear()
-            known = affinity.preferred(self.views, object_key, self._network.is_near)
+            known = affinity.preferred(
+                self.views, object_key, self._network.regions, self._network.region
+            )
             self._preferred[object_key] = known
         return known
 
--- a/rhubarbspar/gateway/shifts.py
+++ b/rhubarbspar/gateway/shifts.py
@@ -22,6 +22,29 @@
 SEED_REQUESTS: typing.Final = 40.0
 
 
+def expected_shares(slots: abc.Mapping[str, float], own_region: str) -> dict[str, float]:
+    """Return the share of the own region's requests that each region is to serve.
+
+    Every region is taken to have the same demand: the own region serves what its slots permit, and the
+    regions with more slots than demand serve the rest.
+
+    Parameters
+    ----------
+    slots
+        Slots of the servers in each region.
+    """
+    whole = sum(slots.values())
+    if not whole:
+        return {}
+    parts = {region: count / whole * len(slots) for region, count in slots.items()}
+    own = min(1.0, parts.get(own_region, 0))
+    spare = {region: max(0.0, part - 1) for region, part in parts.items()}
+    spare_total = sum(spare.values()) or 1.0
+    shares = {region: (1 - own) * part / spare_total for region, part in spare.items()}
+    shares[own_region] = own
+    return shares
+
+
 @dataclasses.dataclass(slots=True)
 class _Average:
     """Exponentially decaying number of requests by region."""
@@ -55,20 +78,10 @@
     longer: _Average = dataclasses.field(default_factory=lambda: _Average(LONGER_MS))
 
     def seed(self, slots: abc.Mapping[str, float], own_region: str, now_ms: float) -> None:
-        """Assume the shares that the slots of the regions permit, before the first requests.
-
-        Every region is taken to have the same demand: the own region serves what its slots permit, and
-        the regions with more slots than demand serve the rest.
-        """
+        """Assume the shares that the slots of the regions permit, before the first requests."""
         if self.longer.total or not slots:
             return
-        whole = sum(slots.values())
-        parts = {region: count / whole * len(slots) for region, count in slots.items()}
-        own = min(1.0, parts.get(own_region, 0))
-        spare = {region: max(0.0, part - 1) for region, part in parts.items()}
-        spare_total = sum(spare.values()) or 1.0
-        shares = {region: (1 - own) * part / spare_total for region, part in spare.items()}
-        shares[own_region] = own
+        shares = expected_shares(slots, own_region)
         self.longer.weights = {region: share * SEED_REQUESTS for region, share in shares.items()}
         self.longer.noted_ms = now_ms
 
--- a/tests/gateway/test_affinity.py
+++ b/tests/gateway/test_affinity.py
@@ -14,41 +14,57 @@
     ]
 
 
-def is_near(failure_domain):
-    """Return whether a failure domain lies in the own region."""
-    return failure_domain.startswith('near')
+REGIONS = {'near-a': 'near', 'near-b': 'near', 'far-a': 'far', 'far-b': 'far'}
+
+
+def preferred(object_key, candidates=None, own_region='near'):
+    """Return the places of an object."""
+    return affinity.preferred(candidates or views(), object_key, REGIONS, own_region)
 
 
 def test_instances_of_a_region_prefer_the_same_servers():
     """Guards against objects that every instance sends elsewhere; rendezvous hashing."""
-    forward = affinity.preferred(views(), '7', is_near)
-    assert forward == affinity.preferred(views()[::-1], '7', is_near)
+    forward = preferred('7')
+    assert forward == preferred('7', views()[::-1])
     assert set(forward.values()) == set(affinity.PREFERRED_GAINS)
 
 
 def test_own_region_comes_first():
     """Guards against bytes between regions for objects that are asked for in one region."""
     by_domain = {view.server.server_id: view.server.failure_domain for view in views()}
-    for server_id, place in affinity.preferred(views(), '7', is_near).items():
-        assert is_near(by_domain[server_id]) == (place is not affinity.Place.FAR)
+    for server_id, place in preferred('7').items():
+        near = REGIONS[by_domain[server_id]] == 'near'
+        assert near == (place is not affinity.Place.OTHER)
 
 
 def test_objects_spread_over_the_servers():
     """Guards against a server that all objects prefer."""
     first = set()
     for number in range(40):
-        places = affinity.preferred(views(), str(number), is_near)
+        places = preferred(str(number))
         first.update(found for found, place in places.items() if place is affinity.Place.FIRST)
     assert first == {'s0', 's1', 's2', 's3'}
 
 
+def test_small_region_sends_the_objects_it_cannot_carry_to_one_place():
+    """Guards against a small region whose servers all handle every object and keep none at hand."""
+    by_domain = {view.server.server_id: view.server.failure_domain for view in views()}
+    homes = []
+    for number in range(600):
+        places = preferred(str(number), own_region='far')
+        (first,) = (found for found, place in places.items() if place is affinity.Place.FIRST)
+        homes.append(REGIONS[by_domain[first]])
+    # Two of six servers are in the own region, which has half of the demand.
+    assert 0.6 < homes.count('far') / len(homes) < 0.73
+
+
 def test_gain_of_a_place_is_learnt_from_responses():
     """Guards against work that is done anew elsewhere because a gain is taken for too small."""
     gains = affinity.Gains()
-    assert gains.at(affinity.Place.FAR) == affinity.PREFERRED_GAINS[affinity.Place.FAR]
+    assert gains.at(affinity.Place.OTHER) == affinity.PREFERRED_GAINS[affinity.Place.OTHER]
     for _ in range(100):
-        gains.note(affinity.Place.FAR, 0.7)
-    assert 0.65 < gains.at(affinity.Place.FAR) <= 0.7
+        gains.note(affinity.Place.OTHER, 0.7)
+    assert 0.65 < gains.at(affinity.Place.OTHER) <= 0.7
     assert gains.at(affinity.Place.NONE) == 0
 
 
--- /dev/null
+++ b/tests/gateway/test_imports.py
@@ -0,0 +1,30 @@
+"""What a gateway needs to be installed."""
+
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parents[2]
+PROBE = """
+import sys
+for absent in ('OpenSSL', 'cryptography', 'service_identity', 'treq'):
+    sys.modules[absent] = None
+import rhubarbspar.gateway.daemon
+"""
+
+
+def pinned(path):
+    """Return the requirements of a file."""
+    lines = path.read_text().splitlines()
+    return {line for line in lines if line and not line.startswith('#')}
+
+
+def test_gateway_starts_without_the_libraries_that_its_platform_does_not_install():
+    """Guards against an import that ends every gateway at its start."""
+    subprocess.run([sys.executable, '-c', PROBE], cwd=ROOT, check=True)
+
+
+def test_deployed_versions_are_those_that_are_tested():
+    """Guards against a gateway that runs with other versions than its tests."""
+    deployed = pinned(ROOT / 'deploy' / 'requirements.txt')
+    assert deployed < pinned(ROOT / 'requirements.txt')
