Hold accounts to their rate when demand grows while instances are cut off

Change: while a peer with demand is silent, the estimate of the fleet's bucket admits nothing. A fill of a bucket works out the demand once.

--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -100,6 +100,8 @@
         Estimate of what all instances together may admit.
     filled_ms
         Time up to which the tokens are filled; infinitely long ago before the first request.
+    own_per_s
+        Demand at this instance when the bucket was last filled.
     others_per_s
         Demand that the peers report.
     silent_per_s
@@ -120,6 +122,7 @@
     filled_ms: float = -math.inf
     admitted: int = 0
     demand: _Demand = dataclasses.field(default_factory=_Demand)
+    own_per_s: float = 0
     others_per_s: float = 0
     silent_per_s: float = 0
     known_per_s: float = 0
@@ -132,43 +135,48 @@
             return
         elapsed_s = max(0.0, now_ms - self.filled_ms) / package_const.MS_PER_S
         self.filled_ms = now_ms
-        others_per_s = self._others_at(now_ms)
-        demand_per_s = self.demand.at(now_ms) + others_per_s
+        self.own_per_s = self.demand.at(now_ms)
+        others_per_s = self._others_per_s()
+        demand_per_s = self.own_per_s + others_per_s
         admitted_part = min(1.0, self.rate_per_s / max(1.0, demand_per_s))
         self.assumed_s += admitted_part * elapsed_s
         gained = (self.rate_per_s - others_per_s * admitted_part) * elapsed_s
-        self.tokens = min(self.tokens + gained, self._capacity(now_ms, share_min))
+        share = max(share_min, self.own_per_s / demand_per_s if demand_per_s else 1)
+        capacity = max(1.0, self.burst * BURST_USED * share)
+        self.tokens = min(self.tokens + gained, capacity)
         self.fleet_tokens = min(self.fleet_tokens + gained, self.burst * FLEET_BURST_USED)
 
-    def start(self, now_ms: float, share_min: float) -> None:
-        """Fill the bucket at the first request of the account."""
+    def start(self, now_ms: float) -> None:
+        """Begin to fill the bucket at the first request of the account; it is full at first."""
         if self.filled_ms != -math.inf:
             return
         self.filled_ms = now_ms
-        self.tokens = self._capacity(now_ms, share_min)
-        if self._others_at(now_ms) < self.rate_per_s:
+        self.tokens = self.burst
+        if self._others_per_s() < self.rate_per_s:
             self.fleet_tokens = self.burst * FLEET_BURST_USED
 
     def take(self) -> bool:
         """Take a token; return whether there was one, here or in the fleet."""
-        if self.tokens < 1 and self.fleet_tokens < max(1.0, self.burst * FLEET_RESERVE):
+        if self.tokens < 1 and not self._fleet_has_tokens:
             return False
         self.tokens -= 1
         self.fleet_tokens -= 1
         self.admitted += 1
         return True
 
-    def correct(self, excess: float, now_ms: float) -> None:
+    def correct(self, excess: float) -> None:
         """Take this instance's share of what a peer admitted beyond the assumption, or left."""
         if self.filled_ms == -math.inf:
             return
-        self.tokens -= excess * self._share(now_ms, without_demand=0)
+        total_per_s = self.own_per_s + self._others_per_s()
+        if total_per_s:
+            self.tokens -= excess * self.own_per_s / total_per_s
         self.fleet_tokens -= excess
 
-    def silence(self, demand_per_s: float, now_ms: float) -> None:
+    def silence(self, demand_per_s: float) -> None:
         """Note that a peer with some demand fell silent."""
         if not self.silent_per_s:
-            self.known_per_s = self.demand.at(now_ms)
+            self.known_per_s = self.own_per_s
         self.others_per_s = max(0.0, self.others_per_s - demand_per_s)
         self.silent_per_s += demand_per_s
 
@@ -176,24 +184,20 @@
         """Note that a silent peer is heard again, or no longer counts."""
         self.silent_per_s = max(0.0, self.silent_per_s - demand_per_s)
 
-    def _others_at(self, now_ms: float) -> float:
+    @property
+    def _fleet_has_tokens(self) -> bool:
+        # Each side of a cut fleet would use the same tokens.
+        if self.silent_per_s:
+            return False
+        return self.fleet_tokens >= max(1.0, self.burst * FLEET_RESERVE)
+
+    def _others_per_s(self) -> float:
         """Return the demand at the peers; that of the silent ones grows as it does here."""
         if not self.silent_per_s:
             return self.others_per_s
-        growth = self.demand.at(now_ms) / max(DEMAND_MIN_PER_S, self.known_per_s)
+        growth = self.own_per_s / max(DEMAND_MIN_PER_S, self.known_per_s)
         return self.others_per_s + self.silent_per_s * max(1.0, growth)
 
-    def _capacity(self, now_ms: float, share_min: float) -> float:
-        """Return the part of the burst that this instance may use at once."""
-        share = max(share_min, self._share(now_ms, without_demand=1))
-        return max(1.0, self.burst * BURST_USED * share)
-
-    def _share(self, now_ms: float, *, without_demand: float) -> float:
-        """Return this instance's share of the demand, or a given value if there is none."""
-        own = self.demand.at(now_ms)
-        total = own + self._others_at(now_ms)
-        return own / total if total else without_demand
-
 
 @dataclasses.dataclass(slots=True)
 class Quotas:
@@ -217,7 +221,7 @@
         bucket = self._bucket(account.account_id)
         bucket.rate_per_s = account.rate_per_s
         bucket.burst = account.burst
-        bucket.start(now_ms, self._share_min)
+        bucket.start(now_ms)
         bucket.demand.note(now_ms)
         bucket.fill(now_ms, self._share_min)
         if bucket.take():
@@ -262,7 +266,7 @@
             if silent_ms > SILENT_MS and not peer.silent:
                 peer.silent = True
                 for account_id, use in peer.uses.items():
-                    self._filled(account_id, now_ms).silence(use.demand_per_s, now_ms)
+                    self._filled(account_id, now_ms).silence(use.demand_per_s)
             if silent_ms > REPORT_KEPT_MS:
                 self._forget(peer_id, now_ms)
 
@@ -295,7 +299,7 @@
     def _correct(self, account_id: str, known: _PeerUse, admitted: int, now_ms: float) -> None:
         bucket = self._filled(account_id, now_ms)
         assumed = known.demand_per_s * (bucket.assumed_s - known.assumed_from_s)
-        bucket.correct(admitted - known.admitted - assumed, now_ms)
+        bucket.correct(admitted - known.admitted - assumed)
         known.admitted = admitted
         known.assumed_from_s = bucket.assumed_s
 
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -1,5 +1,7 @@
 """Rate and burst of client accounts over all instances."""
 
+import pytest
+
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import quotas
@@ -30,7 +32,9 @@
                 self.admitted_ms.append(now_ms)
 
     def exchange(self, now_ms, cut):
-        """Let every instance hear every other."""
+        """Let every instance hear every other, and notice who is silent."""
+        for member in self.members:
+            member.expire(now_ms)
         reports = [member.report_changes(now_ms) for member in self.members]
         for sender, report in enumerate(reports):
             beat = messages.Heartbeat(f'i{sender}', 1, True, False, accounts=report)
@@ -60,6 +64,16 @@
     assert fleet.most_in_window() <= (5 * RATE_PER_S + RATE_PER_S) * 1.1 + 20
 
 
+@pytest.mark.parametrize('cut', [(0,), (0, 1, 2)])
+def test_demand_that_grows_while_instances_are_cut_off_is_held_to_the_rate(cut):
+    """Guards against sides of a cut fleet that each take the other's demand for small."""
+    fleet = Fleet(10)
+    fleet.run(5000, 0.6 * RATE_PER_S)
+    fleet.run(3000, 0.6 * RATE_PER_S, cut=cut, start_ms=5000)
+    fleet.run(6000, 5 * RATE_PER_S, cut=cut, start_ms=8000)
+    assert fleet.most_in_window() <= (5 * RATE_PER_S + RATE_PER_S) * 1.1 + 20
+
+
 def test_account_within_its_rate_is_not_refused():
     """Guards against wrongful refusals at 0.8 of the rate."""
     fleet = Fleet(8)
