--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -1,5 +1,6 @@
 """What the instances and the store tell each other."""
 
+from rhubarbspar import exceptions
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import effects
@@ -59,7 +60,7 @@
     """Guards against a damaged record that takes the configuration away."""
 
     def fail(_key, _content, _revision):
-        raise conftest.exceptions.RhubarbsparError('damaged')
+        raise exceptions.RhubarbsparError('damaged')
 
     gateway.state.decode = fail
     outputs = gateway.declare('config', conftest.ACCOUNT)
