Divide requests by slots where the own region may not serve them

Cause, by reading: for a route whose homes are two other regions of equal size no region has spare slots by the assumption of equal demand, so that all objects went to one of them. Ruled out: other uses of the shares; where the own region serves, they are unchanged.

--- a/rhubarbspar/gateway/shifts.py
+++ b/rhubarbspar/gateway/shifts.py
@@ -36,8 +36,10 @@
     whole = sum(slots.values())
     if not whole:
         return {}
+    if own_region not in slots:
+        return {region: count / whole for region, count in slots.items()}
     parts = {region: count / whole * len(slots) for region, count in slots.items()}
-    own = min(1.0, parts.get(own_region, 0))
+    own = min(1.0, parts[own_region])
     spare = {region: max(0.0, part - 1) for region, part in parts.items()}
     spare_total = sum(spare.values()) or 1.0
     shares = {region: (1 - own) * part / spare_total for region, part in spare.items()}
--- a/tests/gateway/test_shifts.py
+++ b/tests/gateway/test_shifts.py
@@ -46,3 +46,10 @@
     assert shares.longer.share('large') == 0.5
     feed(shares, ['small'], 0, count=20)
     assert shares.cost('small') > 1
+
+
+def test_requests_that_may_not_run_here_are_divided_by_slots():
+    """Guards against one region that gets all requests of routes whose homes are elsewhere."""
+    shares = shifts.expected_shares({'middle': 4, 'large': 4}, 'small')
+    assert shares == {'middle': 0.5, 'large': 0.5}
+    assert shifts.expected_shares({}, 'small') == {}
