Keep lapsed servers only while the store itself has just returned

Ruled out: late news (the removal was heard after 17 ms), a stale group (server_lapsed and server_removed stand in the log). Change: registrations settle from the time at which any live peer has heard the store without a silence, so an instance that alone was cut off follows a removal at once. Two tests, the first fails on the code before.

--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -19,13 +19,30 @@
 
 @dataclasses.dataclass(slots=True)
 class Peer:
-    """What is known of a peer."""
+    """What is known of a peer.
+
+    Attributes
+    ----------
+    follows_since_ms
+        Since when it has said, without a silence, that it hears the store.
+    """
 
     member: models.Member
     connected: bool = False
     heard_ms: float = -math.inf
     dialled_ms: float = -math.inf
     heartbeat: messages.Heartbeat | None = None
+    follows_since_ms: float = math.inf
+
+    def take(self, heartbeat: messages.Heartbeat, now_ms: float, *, was_live: bool) -> None:
+        """Take what the peer says of itself."""
+        followed = was_live and self.heartbeat is not None and self.heartbeat.store_reachable
+        if not heartbeat.store_reachable:
+            self.follows_since_ms = math.inf
+        elif not followed:
+            self.follows_since_ms = now_ms
+        self.heard_ms = now_ms
+        self.heartbeat = heartbeat
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,6 +134,10 @@
         ]
         return len(ahead) < wanted
 
+    def store_returned_ms(self, now_ms: float) -> float:
+        """Return since when some instance has heard the store, now if no peer has."""
+        return min([now_ms, *(peer.follows_since_ms for peer in self.live(now_ms))])
+
     def followers(self, now_ms: float) -> list[models.Member]:
         """Return the peers that hear the store."""
         return [
--- a/rhubarbspar/gateway/mirror.py
+++ b/rhubarbspar/gateway/mirror.py
@@ -52,7 +52,7 @@
             if known.content is not None and key not in read
         ]
         changed = self._take((*snapshot.records, *gone))
-        self.confirm(snapshot.revision, now_ms)
+        self.confirm(snapshot.revision, now_ms, now_ms)
         return changed
 
     def change(
@@ -63,10 +63,16 @@
         self.revision = max(self.revision, revision)
         return changed
 
-    def confirm(self, revision: int, now_ms: float) -> None:
-        """Note that the store was heard at a revision."""
+    def confirm(self, revision: int, now_ms: float, returned_ms: float) -> None:
+        """Note that the store was heard at a revision.
+
+        Parameters
+        ----------
+        returned_ms
+            Since when some instance has heard the store; earlier than now if only this one was cut off.
+        """
         if not self.reachable and self.revision:
-            self.settling_until_ms = now_ms + SETTLING_MS
+            self.settling_until_ms = returned_ms + SETTLING_MS
         self.reachable = True
         self.heard_ms = now_ms
         self.revision = max(self.revision, revision)
--- a/rhubarbspar/gateway/news.py
+++ b/rhubarbspar/gateway/news.py
@@ -20,7 +20,7 @@
 ) -> list[core_effects.Effect]:
     """Note that the store answered."""
     regained = not state.mirror.reachable
-    state.mirror.confirm(revision, now_ms)
+    state.mirror.confirm(revision, now_ms, state.fleet.store_returned_ms(now_ms))
     state.mirror.follows = state.following
     if regained:
         return [core_effects.Log('store_regained', (('revision', state.mirror.revision),))]
@@ -45,15 +45,15 @@
     if peer is None:
         return []
     outputs: list[core_effects.Effect] = []
-    if not state.fleet.is_live(peer, now_ms):
+    was_live = state.fleet.is_live(peer, now_ms)
+    if not was_live:
         outputs.append(core_effects.Log('peer_heard', (('peer', peer_id),)))
     if peer.heartbeat is None or peer.heartbeat.store_reachable != heartbeat.store_reachable:
         # The region may need another follower of the store at once.
         state.fleet.checked_ms = -math.inf
-    peer.heard_ms = now_ms
-    peer.heartbeat = heartbeat
+    peer.take(heartbeat, now_ms, was_live=was_live)
     if heartbeat.store_reachable and not state.following:
-        state.mirror.confirm(0, now_ms)
+        state.mirror.confirm(0, now_ms, state.fleet.store_returned_ms(now_ms))
     state.quotas.hear(peer_id, heartbeat, now_ms)
     state.rollouts.peers[peer_id] = heartbeat.versions
     for verdict in heartbeat.condemned:
@@ -68,7 +68,7 @@
     """Take changes that a peer has heard from the store."""
     mirror = state.mirror
     if not state.following:
-        mirror.confirm(0, now_ms)
+        mirror.confirm(0, now_ms, state.fleet.store_returned_ms(now_ms))
     if relayed.revision <= mirror.revision or relayed.after > mirror.revision:
         return []
     records = tuple(
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -159,3 +159,29 @@
     gateway.reduce(events.StoreLost('timeout'))
     gateway.reduce(core_events.MessageReceived('front-0', heartbeat()))
     assert gateway.state.mirror.settling_until_ms > gateway.now_ms
+
+
+def lose_and_regain(gateway, follows_for_ms):
+    """Cut the instance from the store; a peer follows it for some time before the store is heard again."""
+    near = conftest.dataclasses.replace(PEER, instance_id='front-0')
+    gateway.declare('members/front-0', near)
+    gateway.reduce(events.StoreLost('timeout'))
+    for _ in range(int(follows_for_ms / 500)):
+        gateway.reduce(core_events.MessageReceived('front-0', heartbeat()))
+        gateway.advance(500)
+    gateway.state.servers.views['stock-1'].answered_ms = gateway.now_ms
+    gateway.declare('servers/stock-1', None)
+
+
+def test_server_removed_while_only_this_instance_was_cut_off_is_not_used_on(gateway):
+    """Guards against requests to a server that has left, long after the store has said so."""
+    lose_and_regain(gateway, 4000)
+    assert 'stock-1' not in gateway.state.servers.views
+
+
+def test_server_removed_while_the_store_was_away_is_used_until_it_has_settled(gateway):
+    """Guards against a service that is dropped because its registrations lapsed in an outage."""
+    lose_and_regain(gateway, 500)
+    assert 'stock-1' in gateway.state.servers.views
+    gateway.advance(2500)
+    assert 'stock-1' not in gateway.state.servers.views
