--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -119,14 +119,19 @@
         return self._reactor.seconds() - self._begun_s
 
     async def run(self, schedule):
-        """Play the faults under load; return the broken promises."""
+        """Play the faults under load; return the broken promises.
+
+        Parameters
+        ----------
+        schedule
+            Faults with times from the begin of the load.
+        """
         await self._until_registered()
-        offset_s = self.clock_s() - faults.BEGIN_S + 1.5
         injector = faults.Injector(self._reactor, self)
         for fault in schedule:
-            self._reactor.callLater(fault.at_s + offset_s - self.clock_s(), injector.begin, fault)
-        last_s = max(fault.ends_s for fault in schedule) + offset_s
-        until_s = last_s + models.GRACE_S + faults.RECOVERY_S
+            self._reactor.callLater(fault.at_s, injector.begin, fault)
+        faults_end_s = self.clock_s() + max(fault.ends_s for fault in schedule)
+        until_s = faults_end_s + models.GRACE_S + faults.RECOVERY_S
         running = [
             defer.Deferred.fromCoroutine(self._caller(number).run(until_s))
             for number in range(CALLERS)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,8 +4,10 @@
 from tests.soak import models
 from tests.soak import proxy
 
-BEGIN_S = 4.0
+# The first fault comes this long after the callers have begun, the last one within the span.
+BEGIN_S = 1.5
 SPAN_S = 9.0
+# Time to recover after the last planned stop can have ended.
 RECOVERY_S = 6.0
 _ACTIONS = {
     models.Target.BACKEND: ('crash', 'drain', 'hang', 'silent', 'slow'),
--- a/tests/soak/models.py
+++ b/tests/soak/models.py
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
-    """A fault or planned change at a time of the run.
+    """A fault or planned change at a time after the begin of the load.
 
     Attributes
     ----------
