Call the store less often: longer leases, stale first reads, merged changes

Cause: every instance renewed a lease of 12 s each 4 s, read all records and the fleet key at the full price at its start, and the followers fetched the steady rewrites of registrations up to ten times a second. Change: a lease of 120 s, renewed each 40 s, since heartbeats decide who is live; the first read may be stale, the watch from its oldest revision brings it up to date, and a read after a compaction is never stale; 350 ms between watches after a change.

--- a/rhubarbspar/gateway/store_tasks.py
+++ b/rhubarbspar/gateway/store_tasks.py
@@ -21,11 +21,12 @@
 WATCH_WAIT_MS: typing.Final = 1500
 RETRY_MIN_S: typing.Final = 0.15
 RETRY_JITTER_S: typing.Final = 0.2
-# Delay after a change, so that the next watch returns several changes at once.
-COALESCE_DELAY_S: typing.Final = 0.1
+# Delay after a change, so that the next watch returns several changes at once: backend servers write
+# their registrations again all the time, and every call to the store is charged.
+COALESCE_DELAY_S: typing.Final = 0.35
 # The registration only serves the first contact of instances; heartbeats show whether one is live.
-LEASE_TTL_MS: typing.Final = 12_000
-RENEW_INTERVAL_S: typing.Final = 4.0
+LEASE_TTL_MS: typing.Final = 120_000
+RENEW_INTERVAL_S: typing.Final = 40.0
 _FLEET_KEY_BYTES: typing.Final = 32
 
 
@@ -63,6 +64,7 @@
         self._lease = 0
         self._deregistered = False
         self._revision = 0
+        self._is_first_read = True
         self._following = True
         self._closed = False
         self._following_started: defer.Deferred[None] | None = None
@@ -157,7 +159,12 @@
     async def _watch(self) -> None:
         """Read a snapshot if none is known, then deliver changes while this instance follows."""
         if not self._revision:
-            snapshot, revision = await self._client.read_all(platform_const.PREFIX_ALL)
+            # A process without any records may start with old ones; the watch brings it up to
+            # date. After a compaction, old ones could precede the history that the store has.
+            snapshot, revision = await self._client.read_all(
+                platform_const.PREFIX_ALL, allow_stale=self._is_first_read
+            )
+            self._is_first_read = False
             self._revision = revision
             self._deliver(events.StoreSnapshot(snapshot, revision))
         while self._following and not self._closed:
@@ -180,13 +187,14 @@
         self._report(core_effects.Log('registered', (('lease', lease),)))
 
     async def _read_fleet_key(self) -> bytes:
+        record = await self._client.read(platform_const.KEY_FLEET, allow_stale=True)
         while True:
-            record = await self._client.read(platform_const.KEY_FLEET)
             if record is not None and record.content:
                 return record.content
             new_key = secrets.token_hex(_FLEET_KEY_BYTES).encode()
             if await self._client.put_if(platform_const.KEY_FLEET, new_key, 0):
                 return new_key
+            record = await self._client.read(platform_const.KEY_FLEET)
 
     def _report_failure(self, call: str, error: errors.StoreError) -> None:
         log_fields = (('call', call), ('error', str(error)))
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -24,6 +24,9 @@
 CONNECT_TIMEOUT_MS: typing.Final = 600
 IDLE_MAX_MS: typing.Final = 20_000
 
+# Value of the query parameter that permits a stale answer.
+_STALE_ALLOWED: typing.Final = '1'
+
 
 class Store:
     """Awaitable calls to the store; all raise ``StoreError`` if they fail.
@@ -49,23 +52,33 @@
         self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS)
         self._calls: set[client.Call] = set()
 
-    async def read_all(self, prefix: str) -> tuple[tuple[events.RecordRead, ...], int]:
+    async def read_all(
+        self, prefix: str, *, allow_stale: bool = False
+    ) -> tuple[tuple[events.RecordRead, ...], int]:
         """Return all records below a prefix, and the revision to watch from.
 
         The records come in pages and form no snapshot. Changes that the pages miss are newer than
         the returned revision, so that a watch from it delivers them.
+
+        Parameters
+        ----------
+        allow_stale
+            Whether the records may be some seconds old; the store charges less for that.
         """
         records: list[events.RecordRead] = []
-        first_revision: int | None = None
+        oldest_revision: int | None = None
         after = ''
         while True:
             query = {'pathPrefix': prefix, 'after': after} if after else {'pathPrefix': prefix}
+            if allow_stale:
+                query['allowStale'] = _STALE_ALLOWED
             answer = await self._exchange(b'GET', '/kv-range', query)
-            # Records may change between pages; the watch must start at the first page's revision.
-            first_revision = answer['at'] if first_revision is None else first_revision
+            # Records may change between pages, and a later page may be the staler one.
+            if oldest_revision is None or answer['at'] < oldest_revision:
+                oldest_revision = answer['at']
             records.extend(_decode_record(row) for row in answer['items'])
             if not answer.get('hasMore') or not records:
-                return tuple(records), first_revision
+                return tuple(records), oldest_revision
             after = records[-1].key
 
     async def watch(
@@ -90,10 +103,11 @@
             raise
         return tuple(_decode_record(row) for row in answer['events']), answer['at']
 
-    async def read(self, key: str) -> events.RecordRead | None:
+    async def read(self, key: str, *, allow_stale: bool = False) -> events.RecordRead | None:
         """Return one record, or ``None`` if its key does not exist."""
+        query = {'key': key, 'allowStale': _STALE_ALLOWED} if allow_stale else {'key': key}
         try:
-            return _decode_record(await self._exchange(b'GET', '/kv-key', {'key': key}))
+            return _decode_record(await self._exchange(b'GET', '/kv-key', query))
         except errors.StoreRejectedError as error:
             if error.status == const.STATUS_NOT_FOUND:
                 return None
