--- a/rhubarbspar/bench/gateway.py
+++ b/rhubarbspar/bench/gateway.py
@@ -115,7 +115,7 @@
 def _hear_us(coder: codec.Codec, beat: messages.Heartbeat) -> float:
     state = _state(1)
     member = gateway_models.Member('gateway-1', 'a', 'domain', 'region', '', '')
-    state.fleet.register(member)
+    state.fleet.register(member, 0)
     frame = coder.encode(beat)
     started_s = time.process_time()
     for _ in range(HEARTBEATS):
--- a/rhubarbspar/core/effects.py
+++ b/rhubarbspar/core/effects.py
@@ -35,6 +35,14 @@
     message: messages.Message
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Multicast(Effect):
+    """Send a message to several peers; it is dropped for those that are not connected."""
+
+    peer_ids: tuple[str, ...]
+    message: messages.Message
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broadcast(Effect):
     """Send a message to every connected peer."""
--- a/rhubarbspar/gateway/buckets.py
+++ b/rhubarbspar/gateway/buckets.py
@@ -42,6 +42,33 @@
         return self.rate_per_s * math.exp((self.updated_ms - now_ms) / DEMAND_WINDOW_MS)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sums:
+    """Admitted requests and present demand of an account at several instances."""
+
+    admitted: float
+    demand_per_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class ChildSums:
+    """Sums of the peers that report to this instance.
+
+    Attributes
+    ----------
+    admitted
+        Requests that they have admitted, with an estimate for those whose heartbeats have stopped.
+    demand_per_s
+        Their demand, silent ones included.
+    silent_demand_per_s
+        Demand of those whose heartbeats have stopped.
+    """
+
+    admitted: float = 0
+    demand_per_s: float = 0
+    silent_demand_per_s: float = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Bucket:
     """Token bucket of an account at this instance.
@@ -64,6 +91,11 @@
         Sum of the demands that the peers report, without those whose heartbeats have stopped.
     silent_demand_per_s
         Sum of the last demands reported by peers whose heartbeats have stopped.
+    peers_admitted
+        Requests that the peers have admitted since they were first known, with an estimate for
+        those whose heartbeats have stopped.
+    children
+        The part of the peers that report to this instance.
     local_demand_at_silence_per_s
         Demand at this instance when the first of these peers was marked as silent.
     assumed_s
@@ -85,6 +117,8 @@
     silent_demand_per_s: float = 0
     local_demand_at_silence_per_s: float = 0
     assumed_s: float = 0
+    peers_admitted: float = 0
+    children: ChildSums = dataclasses.field(default_factory=ChildSums)
     reported: messages.AccountUsage | None = None
 
     def refill(self, now_ms: float, guaranteed_share: float) -> None:
@@ -107,6 +141,9 @@
         demand_per_s = self.local_demand_per_s + peer_demand_per_s
         admitted_share = min(1.0, self.rate_per_s / max(1.0, demand_per_s))
         self.assumed_s += admitted_share * elapsed_s
+        silent_per_s = peer_demand_per_s - self.peer_demand_per_s
+        self.peers_admitted += silent_per_s * admitted_share * elapsed_s
+        self.children.admitted += self.children.silent_demand_per_s * admitted_share * elapsed_s
         added_tokens = (self.rate_per_s - peer_demand_per_s * admitted_share) * elapsed_s
         share = max(guaranteed_share, self.local_demand_per_s / demand_per_s if demand_per_s else 1)
         capacity = max(1.0, self.burst * BURST_SHARE * share)
@@ -125,9 +162,15 @@
         if self._estimated_peer_demand() < self.rate_per_s:
             self.fleet_tokens = self.burst * FLEET_BURST_SHARE
 
-    def try_acquire(self) -> bool:
-        """Take a token; return whether this instance or the fleet had one left."""
-        if self.tokens < 1 and not self._fleet_has_tokens:
+    def try_acquire(self, *, is_partitioned: bool = False) -> bool:
+        """Take a token; return whether this instance or the fleet had one left.
+
+        Parameters
+        ----------
+        is_partitioned
+            Whether some peer speaks for instances whose heartbeats have stopped.
+        """
+        if self.tokens < 1 and (is_partitioned or not self._fleet_has_tokens):
             return False
         self.tokens -= 1
         self.fleet_tokens -= 1
@@ -149,24 +192,45 @@
             self.tokens -= excess * self.local_demand_per_s / total_per_s
         self.fleet_tokens -= excess
 
-    def mark_silent(self, demand_per_s: float) -> None:
+    def branch_sums(self, now_ms: float) -> Sums:
+        """Return the sums of this instance and its children."""
+        return Sums(
+            self.admitted + self.children.admitted,
+            self.demand.rate_at(now_ms) + self.children.demand_per_s,
+        )
+
+    def fleet_sums(self, now_ms: float) -> Sums:
+        """Return the sums of this instance and all peers."""
+        return Sums(
+            self.admitted + self.peers_admitted,
+            self.demand.rate_at(now_ms) + self._estimated_peer_demand(),
+        )
+
+    def mark_silent(self, demand_per_s: float, *, is_child: bool = False) -> None:
         """Move a peer's demand to ``silent_demand_per_s`` because its heartbeats have stopped."""
         if not self.silent_demand_per_s:
             self.local_demand_at_silence_per_s = self.local_demand_per_s
         self.peer_demand_per_s = max(0.0, self.peer_demand_per_s - demand_per_s)
         self.silent_demand_per_s += demand_per_s
+        if is_child:
+            self.children.silent_demand_per_s += demand_per_s
 
-    def remove_silent(self, demand_per_s: float) -> None:
+    def remove_silent(self, demand_per_s: float, *, is_child: bool = False) -> None:
         """Subtract a silent peer's demand when its heartbeats resume or the peer is forgotten."""
-        remaining_per_s = self.silent_demand_per_s - demand_per_s
-        # Adding and subtracting floats leaves a rounding error instead of 0.
-        self.silent_demand_per_s = remaining_per_s if remaining_per_s >= DEMAND_MIN_PER_S else 0
+        self.silent_demand_per_s = _subtract_demand(self.silent_demand_per_s, demand_per_s)
+        if is_child:
+            self.children.silent_demand_per_s = _subtract_demand(
+                self.children.silent_demand_per_s, demand_per_s
+            )
 
     @property
     def _fleet_has_tokens(self) -> bool:
         # Each side of a partitioned fleet would hand out the same tokens.
         if self.silent_demand_per_s:
             return False
+        # Under a higher demand, all instances would admit requests until the next reports.
+        if self.local_demand_per_s + self.peer_demand_per_s > self.rate_per_s:
+            return False
         return self.fleet_tokens >= max(1.0, self.burst * FLEET_RESERVE_SHARE)
 
     def _estimated_peer_demand(self) -> float:
@@ -179,3 +243,9 @@
             return self.peer_demand_per_s
         growth = self.local_demand_per_s / max(DEMAND_MIN_PER_S, self.local_demand_at_silence_per_s)
         return self.peer_demand_per_s + self.silent_demand_per_s * max(1.0, growth)
+
+
+def _subtract_demand(total_per_s: float, removed_per_s: float) -> float:
+    """Return a demand without a part of it; a rounding error of floats becomes 0."""
+    remaining_per_s = total_per_s - removed_per_s
+    return remaining_per_s if remaining_per_s >= DEMAND_MIN_PER_S else 0
--- a/rhubarbspar/gateway/const.py
+++ b/rhubarbspar/gateway/const.py
@@ -2,13 +2,32 @@
 
 import typing
 
-# Interval of heartbeats to every peer; it grows with the fleet, so that the cost for each instance
-# stays constant.
 HEARTBEAT_INTERVAL_MS: typing.Final = 500
-HEARTBEAT_INTERVAL_PER_PEER_MS: typing.Final = 15
-# A peer is live for this many heartbeat intervals after its last heartbeat.
-HEARTBEATS_MISSED_MAX: typing.Final = 3
+# Interval while an account uses a large part of its burst at an instance of a large fleet, whose
+# reports take up to three hops.
+URGENT_HEARTBEAT_INTERVAL_MS: typing.Final = 150
+# A peer is live for this long after its last heartbeat.
+LIVENESS_TIMEOUT_MS: typing.Final = 1500
+# A peer that a relay has reported as live stays so for this long; longer than the timeout, since
+# the report of the next relay takes some time when a relay has failed.
+REPORTED_LIVE_TIMEOUT_MS: typing.Final = 2500
+# A newly registered peer is presumed to be starting for this long.
+PRESUMED_LIVE_MS: typing.Final = 2000
+# Up to this size of the fleet, every instance exchanges heartbeats with every other one.
+MESH_INSTANCES_MAX: typing.Final = 16
+# Relays of the own failure domain to which an instance keeps connections: its own, and the next.
+RELAYS_CONNECTED: typing.Final = 2
+# Peers of a failure domain that are dialled at the same time while none of them answers.
+DIALS_MAX: typing.Final = 2
 REDIAL_INTERVAL_MS: typing.Final = 1000
+# In a large fleet, the interval between dials of a peer that does not answer doubles this often.
+REDIAL_DOUBLINGS_MAX: typing.Final = 2
+# A connection that this instance has opened is closed when it was not needed for this long.
+NEEDLESS_CONNECTION_MS: typing.Final = 5000
+# After a change of relay, sums that came from the former one are replaced within this time.
+RELAY_CHANGE_MS: typing.Final = 2000
+# An instance that is no relay watches the store if its region had no follower for this long.
+FOLLOWER_MISSING_MS: typing.Final = 1500
 # Interval of checks of peer connections and of the choice of instances that watch the store.
 FLEET_CHECK_INTERVAL_MS: typing.Final = 200
 
--- a/rhubarbspar/gateway/directory.py
+++ b/rhubarbspar/gateway/directory.py
@@ -41,11 +41,7 @@
 
 def _usable_members(state: gateway_state.State, now_ms: float) -> list[models.Member]:
     """Return the live instances that are not leaving, this one only if it is ready."""
-    members = [
-        peer.member
-        for peer in state.fleet.live_peers(now_ms)
-        if peer.heartbeat is not None and not peer.heartbeat.leaving
-    ]
+    members = [peer.member for peer in state.fleet.live_peers(now_ms) if not peer.leaving]
     if state.is_ready:
         members.append(state.fleet.own_member)
     return members
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -1,39 +1,86 @@
-"""Membership of the fleet: registered instances, their heartbeats, and who watches the store.
+"""Membership of the fleet: registered instances, which of them are live, who watches the store.
 
-Pattern: full mesh heartbeats; an instance without recent heartbeats is not live, whatever its
-registration says.
+Pattern: heartbeats, and reports of relays on the instances that this one is not connected to. An
+instance without either is not live, whatever its registration says.
 """
 
 import dataclasses
+import enum
 import math
 import typing
 
-from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.helpers import rendezvous
 
 # Instances that watch the store in a fleet of one region.
 FOLLOWERS_SINGLE_REGION: typing.Final = 2
 
 
+class Relation(enum.Enum):
+    """What an instance exchanges with a peer.
+
+    Attributes
+    ----------
+    NONE
+        Only the proof that it is live.
+    RELAY
+        Both are relays; each reports the sums of the instances that report to it.
+    CHILD
+        The peer reports to this instance and gets the sums of all other instances.
+    PARENT
+        This instance reports to the peer, its relay.
+    """
+
+    NONE = enum.auto()
+    RELAY = enum.auto()
+    CHILD = enum.auto()
+    PARENT = enum.auto()
+
+
 @dataclasses.dataclass(slots=True)
 class Peer:
     """A peer: its registration, connection and last heartbeat.
 
     Attributes
     ----------
+    last_heartbeat_ms
+        When its last heartbeat arrived.
+    reported_live_ms
+        When a relay last reported that the peer is live.
     dialled_ms
         When it was last dialled or connected; minus infinity makes it due for a dial.
+    dialled_here
+        Whether this instance has opened the connection.
+    failed_dials
+        Dials since the last heartbeat.
+    needed_ms
+        When this instance last needed the connection.
+    presumed_until_ms
+        Until then a peer without a heartbeat is presumed to be starting.
+    relay_id
+        Id of the relay that the peer reports to, its own id if it is a relay; empty if unknown.
+    relation
+        The relation at the last check.
     store_reachable_since_ms
-        Since when its heartbeats have reported, without a gap, that it reaches the store.
+        Since when it has been reported, without a gap, to reach the store.
     """
 
     member: models.Member
     connected: bool = False
     last_heartbeat_ms: float = -math.inf
+    reported_live_ms: float = -math.inf
     dialled_ms: float = -math.inf
-    heartbeat: messages.Heartbeat | None = None
+    dialled_here: bool = False
+    failed_dials: int = 0
+    needed_ms: float = -math.inf
+    presumed_until_ms: float = -math.inf
+    relay_id: str = ''
+    relation: Relation = Relation.NONE
+    store_reachable: bool = False
+    store_revision: int = 0
+    leaving: bool = False
     store_reachable_since_ms: float = math.inf
 
     def record_heartbeat(
@@ -44,16 +91,38 @@
         Parameters
         ----------
         was_live
-            Whether the peer was live until now; after a gap, its contact with the store counts
-            from this heartbeat.
+            Whether the peer was live until now.
         """
-        reached_store = was_live and self.heartbeat is not None and self.heartbeat.store_reachable
-        if not heartbeat.store_reachable:
+        self.record_store_contact(heartbeat.store_reachable, now_ms, was_live=was_live)
+        self.last_heartbeat_ms = now_ms
+        self.failed_dials = 0
+        self.relay_id = heartbeat.relay_id or self.member.instance_id
+        self.store_revision = heartbeat.store_revision
+        self.leaving = heartbeat.leaving
+
+    def record_store_contact(self, reachable: bool, now_ms: float, *, was_live: bool) -> None:
+        """Note whether the peer reaches the store; after a gap, its contact counts from now."""
+        if not reachable:
             self.store_reachable_since_ms = math.inf
-        elif not reached_store:
+        elif not (was_live and self.store_reachable):
             self.store_reachable_since_ms = now_ms
-        self.last_heartbeat_ms = now_ms
-        self.heartbeat = heartbeat
+        self.store_reachable = reachable
+
+    def is_heard(self, now_ms: float) -> bool:
+        """Return whether a heartbeat of the peer itself has arrived within the timeout."""
+        return now_ms - self.last_heartbeat_ms <= const.LIVENESS_TIMEOUT_MS
+
+    def is_live(self, now_ms: float) -> bool:
+        """Return whether the peer was heard, or reported as live, within the timeouts."""
+        if self.is_heard(now_ms):
+            return True
+        return now_ms - self.reported_live_ms <= const.REPORTED_LIVE_TIMEOUT_MS
+
+    def is_dial_due(self, now_ms: float, doublings_max: int) -> bool:
+        """Return whether the peer may be dialled; the interval doubles with each failure."""
+        exponent = min(self.failed_dials, doublings_max)
+        interval_ms: float = const.REDIAL_INTERVAL_MS * 2**exponent
+        return now_ms - self.dialled_ms >= interval_ms
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,72 +131,85 @@
 
     Attributes
     ----------
+    relay_id
+        The instance that this one reports to; its own id if it is a relay.
+    relay_changed_ms
+        When ``relay_id`` last changed.
+    region_has_follower_ms
+        When an instance of the own region was last known to watch the store.
     last_check_ms
         When connections and the duty to watch the store were last checked; minus infinity forces
         a check.
     last_broadcast_ms
-        When the last heartbeat was broadcast.
+        When the last heartbeats were sent.
+    connected_ids
+        Ids of the connected peers, including those whose registration is not known yet.
+    ranks
+        Cached order in which the instances of each failure domain are preferred as relays.
     """
 
     own_member: models.Member
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    relay_id: str = ''
+    relay_changed_ms: float = -math.inf
+    region_has_follower_ms: float = -math.inf
     last_check_ms: float = -math.inf
     last_broadcast_ms: float = -math.inf
+    connected_ids: set[str] = dataclasses.field(default_factory=set)
+    ranks: dict[str, list[str]] = dataclasses.field(default_factory=dict)
 
-    def register(self, member: models.Member) -> None:
+    def __post_init__(self) -> None:
+        """Start as a relay; without peers there is nobody to report to."""
+        self.relay_id = self.own_member.instance_id
+
+    def register(self, member: models.Member, now_ms: float) -> None:
         """Add a peer or update its registration; a new incarnation replaces the known peer."""
         if member.instance_id == self.own_member.instance_id:
             return
         peer = self.peers.get(member.instance_id)
         if peer is None or peer.member.incarnation != member.incarnation:
-            self.peers[member.instance_id] = Peer(member)
+            self.ranks.clear()
+            presumed_until_ms = now_ms + const.PRESUMED_LIVE_MS
+            registered = Peer(member, presumed_until_ms=presumed_until_ms)
+            if member.instance_id in self.connected_ids:
+                registered.connected = True
+                registered.dialled_ms = now_ms
+            self.peers[member.instance_id] = registered
         else:
             peer.member = member
 
     def deregister(self, instance_id: str, now_ms: float) -> None:
         """Remove a peer whose registration was deleted, unless it is still live."""
         peer = self.peers.get(instance_id)
-        if peer is not None and not self.is_live(peer, now_ms):
+        if peer is not None and not peer.is_live(now_ms):
+            self.ranks.clear()
             self.peers.pop(instance_id)
 
     @property
-    def heartbeat_interval_ms(self) -> float:
-        """Return the time between heartbeats, which grows with the size of the fleet."""
-        scaled_ms = const.HEARTBEAT_INTERVAL_PER_PEER_MS * len(self.peers)
-        return max(const.HEARTBEAT_INTERVAL_MS, scaled_ms)
+    def is_mesh(self) -> bool:
+        """Return whether the fleet is so small that every instance is a relay."""
+        return len(self.peers) < const.MESH_INSTANCES_MAX
 
-    def is_live(self, peer: Peer, now_ms: float) -> bool:
-        """Return whether a peer has sent a heartbeat within the liveness timeout."""
-        return now_ms - peer.last_heartbeat_ms <= self._liveness_timeout_ms
+    @property
+    def is_relay(self) -> bool:
+        """Return whether this instance exchanges sums with other relays."""
+        return self.relay_id == self.own_member.instance_id
 
     def live_peers(self, now_ms: float) -> list[Peer]:
-        """Return the peers that have sent a heartbeat within the liveness timeout."""
-        oldest_ms = now_ms - self._liveness_timeout_ms
-        return [peer for peer in self.peers.values() if peer.last_heartbeat_ms >= oldest_ms]
+        """Return the live peers."""
+        return [peer for peer in self.peers.values() if peer.is_live(now_ms)]
 
     def live_count(self, now_ms: float) -> int:
         """Return the number of live instances, this one included."""
         return 1 + len(self.live_peers(now_ms))
 
-    def connection_effects(self, now_ms: float) -> list[core_effects.Effect]:
-        """Return the effects that dial missing peers and close silent connections.
-
-        Of two instances, the one with the lower id dials.
-        """
-        outputs: list[core_effects.Effect] = []
-        silence_max_ms = 2 * self._liveness_timeout_ms
-        for peer_id, peer in self.peers.items():
-            silent_ms = now_ms - max(peer.last_heartbeat_ms, peer.dialled_ms)
-            if peer.connected and silent_ms > silence_max_ms:
-                peer.connected = False
-                peer.dialled_ms = -math.inf
-                outputs.append(core_effects.ClosePeer(peer_id))
-            if peer.connected or peer_id <= self.own_member.instance_id:
-                continue
-            if now_ms - peer.dialled_ms >= const.REDIAL_INTERVAL_MS:
-                peer.dialled_ms = now_ms
-                outputs.append(core_effects.DialPeer(peer_id, peer.member.peer_address))
-        return outputs
+    def related_peers(self, relation: Relation) -> list[str]:
+        """Return the ids of the connected peers with a relation."""
+        return [
+            peer_id
+            for peer_id, peer in self.peers.items()
+            if peer.connected and peer.relation == relation
+        ]
 
     def is_coordinator(self, now_ms: float) -> bool:
         """Return whether this instance has the lowest id of those that reach the store."""
@@ -138,8 +220,11 @@
         """Return whether this instance has to watch the store itself.
 
         One instance of each region watches it, two in a fleet of a single region: those with the
-        lowest ids among the instances that reach the store.
+        lowest ids among the instances that reach the store. If there is none, the relays of the
+        region start to watch it, and the other instances only if it lacks a follower for long.
         """
+        if not self.is_relay and now_ms - self.region_has_follower_ms < const.FOLLOWER_MISSING_MS:
+            return False
         regions = {peer.member.region for peer in self.peers.values()} | {self.own_member.region}
         follower_count = 1 if len(regions) > 1 else FOLLOWERS_SINGLE_REGION
         preferred = [
@@ -159,22 +244,68 @@
         return [
             peer.member
             for peer in self.live_peers(now_ms)
-            if peer.heartbeat is not None
-            and peer.heartbeat.store_reachable
-            and not peer.heartbeat.leaving
+            if peer.store_reachable and not peer.leaving
         ]
 
-    def region_peers_without_store(self, now_ms: float) -> list[str]:
-        """Return the ids of connected peers of the own region that get store changes from peers."""
-        return [
-            peer.member.instance_id
-            for peer in self.live_peers(now_ms)
-            if peer.connected
-            and peer.member.region == self.own_member.region
-            and peer.heartbeat is not None
-            and not peer.heartbeat.store_reachable
-        ]
+    def has_follower(self, region: str, now_ms: float) -> bool:
+        """Return whether a peer in a region is known to reach the store."""
+        return any(follower.region == region for follower in self.store_followers(now_ms))
 
-    @property
-    def _liveness_timeout_ms(self) -> float:
-        return const.HEARTBEATS_MISSED_MAX * self.heartbeat_interval_ms
+    def apply_membership(
+        self, reporter: Peer, heartbeat: messages.Heartbeat, now_ms: float
+    ) -> None:
+        """Apply what a relay reports of instances that this one is not connected to.
+
+        A relay speaks for its failure domain, and to its children for the whole fleet.
+        """
+        absent_ids = set(heartbeat.absent_ids)
+        leaving_ids = set(heartbeat.leaving_ids)
+        follower_ids = set(heartbeat.follower_ids)
+        for peer_id, peer in self.peers.items():
+            if peer.connected or not self._speaks_for(reporter, peer):
+                continue
+            if peer_id in absent_ids:
+                peer.reported_live_ms = -math.inf
+                continue
+            was_live = peer.is_live(now_ms)
+            peer.reported_live_ms = now_ms
+            peer.leaving = peer_id in leaving_ids
+            peer.record_store_contact(peer_id in follower_ids, now_ms, was_live=was_live)
+
+    def reported_peers(self, relation: Relation) -> list[Peer]:
+        """Return the peers whose state this instance reports to a peer with a relation."""
+        if self.is_mesh:
+            return []
+        if relation == Relation.CHILD:
+            return list(self.peers.values())
+        domain = self.own_member.failure_domain
+        if relation == Relation.RELAY:
+            return [peer for peer in self.peers.values() if peer.member.failure_domain == domain]
+        return []
+
+    def peers_ranked_above(self) -> list[Peer]:
+        """Return the peers of the own failure domain that come before this instance, in order."""
+        own_id = self.own_member.instance_id
+        ranked_ids = self.ranked_by_domain().get(self.own_member.failure_domain, [own_id])
+        return [self.peers[peer_id] for peer_id in ranked_ids[: ranked_ids.index(own_id)]]
+
+    def ranked_by_domain(self) -> dict[str, list[str]]:
+        """Return the ids of the registered instances of each failure domain, preferred relay first.
+
+        The result is cached until the registrations change.
+        """
+        if not self.ranks:
+            ids_by_domain: dict[str, list[str]] = {}
+            for member in (self.own_member, *(peer.member for peer in self.peers.values())):
+                ids_by_domain.setdefault(member.failure_domain, []).append(member.instance_id)
+            for domain, ids in ids_by_domain.items():
+                self.ranks[domain] = rendezvous.rank(domain, ids)
+        return self.ranks
+
+    def _speaks_for(self, reporter: Peer, peer: Peer) -> bool:
+        if peer is reporter or self.is_mesh:
+            return False
+        if reporter.relation == Relation.PARENT:
+            return True
+        same_domain = peer.member.failure_domain == reporter.member.failure_domain
+        return reporter.relation == Relation.RELAY and same_domain
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -1,42 +1,23 @@
-"""Heartbeats between instances, and relay of store changes to peers that do not watch the store.
+"""Heartbeats between instances: sums of account usage, results, verdicts and loads of servers.
 
-Patterns: gossip of cumulative counters; relay of store changes by revision.
+Patterns: gossip of cumulative counters; aggregation in a tree, where each instance passes to a
+neighbour the sum of what it has from the others.
 """
 
+import itertools
 import math
+from collections import abc
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
-from rhubarbspar.gateway import events
+from rhubarbspar.gateway import fleet
+from rhubarbspar.gateway import load_reports
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import state as gateway_state
-from rhubarbspar.gateway import store_records
-
-
-def note_store_reachable(
-    state: gateway_state.State, now_ms: float, revision: int
-) -> list[core_effects.Effect]:
-    """Note that the store answered this instance."""
-    was_unreachable = not state.replica.reachable
-    state.replica.mark_reachable(revision, now_ms, state.fleet.earliest_store_contact_ms(now_ms))
-    state.replica.directly_reachable = state.is_store_follower
-    if was_unreachable:
-        return [core_effects.Log('store_regained', (('revision', state.replica.revision),))]
-    return []
-
-
-def note_store_lost(
-    state: gateway_state.State, reason: str, now_ms: float
-) -> list[core_effects.Effect]:
-    """Note that a call to the store failed; broadcast it if the store was reachable until now."""
-    was_reachable = state.replica.reachable
-    state.replica.mark_unreachable()
-    if not was_reachable:
-        return []
-    log_fields = (('reason', reason), ('revision', state.replica.revision))
-    return [core_effects.Log('store_lost', log_fields), *broadcast_heartbeat(state, now_ms)]
+from rhubarbspar.gateway import store_relay
+from rhubarbspar.gateway import topology
 
 
 def receive_heartbeat(
@@ -47,151 +28,306 @@
     if peer is None:
         return []
     outputs: list[core_effects.Effect] = []
-    was_live = state.fleet.is_live(peer, now_ms)
+    was_live = peer.is_live(now_ms)
     if not was_live:
         outputs.append(core_effects.Log('peer_heard', (('peer', peer_id),)))
-    if peer.heartbeat is None or peer.heartbeat.store_reachable != heartbeat.store_reachable:
+    if peer.last_heartbeat_ms == -math.inf or peer.store_reachable != heartbeat.store_reachable:
         # Check at once whether the region needs another instance that watches the store.
         state.fleet.last_check_ms = -math.inf
     peer.record_heartbeat(heartbeat, now_ms, was_live=was_live)
-    if heartbeat.store_reachable and not state.is_store_follower:
-        state.replica.mark_reachable(0, now_ms, state.fleet.earliest_store_contact_ms(now_ms))
-    state.quotas.apply_heartbeat(peer_id, heartbeat, now_ms)
-    state.rollouts.peers[peer_id] = heartbeat.versions
-    for verdict in heartbeat.rejected_versions:
-        if state.rollouts.apply_verdict(verdict):
-            outputs.append(_log_verdict(verdict, peer_id))
-    return outputs + _relay_missing_changes(state, peer_id, heartbeat)
-
-
-def apply_relayed_changes(
-    state: gateway_state.State, peer_id: str, relayed: messages.StoreNews, now_ms: float
-) -> list[core_effects.Effect]:
-    """Apply store changes that a peer relays, if they continue from the known revision."""
-    replica = state.replica
-    if not state.is_store_follower:
-        replica.mark_reachable(0, now_ms, state.fleet.earliest_store_contact_ms(now_ms))
-    if relayed.revision <= replica.revision or relayed.base_revision > replica.revision:
-        return []
-    records = tuple(
-        events.RecordRead(record.key, record.revision, record.content) for record in relayed.records
-    )
-    log_fields = (('peer', peer_id), ('revision', relayed.revision), ('records', len(records)))
-    changed = replica.apply_changes(records, relayed.revision)
-    applied = store_records.apply_records(state, changed, now_ms)
-    return [core_effects.Log('news_relayed', log_fields), *applied]
-
-
-def relay_changes(
-    state: gateway_state.State,
-    base_revision: int,
-    changes: tuple[events.RecordRead, ...],
-    now_ms: float,
-) -> list[core_effects.Effect]:
-    """Relay changes to the peers of the own region that do not watch the store."""
-    if not changes or not state.replica.directly_reachable:
-        return []
-    relayed = _make_store_news(base_revision, state.replica.revision, changes)
-    return [
-        core_effects.SendMessage(peer_id, relayed)
-        for peer_id in state.fleet.region_peers_without_store(now_ms)
-    ]
+    outputs.extend(_update_relation(state, peer, now_ms))
+    state.fleet.apply_membership(peer, heartbeat, now_ms)
+    store_relay.note_peer_contact(state, heartbeat, now_ms)
+    if peer.relation != fleet.Relation.NONE:
+        outputs.extend(_apply_sums(state, peer, heartbeat, now_ms))
+    outputs.extend(_apply_verdicts(state, peer_id, heartbeat, now_ms))
+    return outputs + store_relay.relay_missing_changes(state, peer, now_ms)
 
 
 def note_peer_connected(
     state: gateway_state.State, peer_id: str, now_ms: float
 ) -> list[core_effects.Effect]:
     """Note a new connection to a peer; send it a heartbeat with all accounts."""
+    state.fleet.connected_ids.add(peer_id)
     peer = state.fleet.peers.get(peer_id)
-    if peer is not None:
-        peer.connected = True
-        peer.dialled_ms = now_ms
-    heartbeat = _make_heartbeat(state, state.quotas.report(now_ms))
-    full_heartbeat = core_effects.SendMessage(peer_id, heartbeat)
-    return [core_effects.Log('peer_connected', (('peer', peer_id),)), full_heartbeat]
+    log = core_effects.Log('peer_connected', (('peer', peer_id),))
+    if peer is None:
+        # The registration of the peer is not known yet.
+        heartbeat = _make_heartbeat(state, fleet.Relation.NONE, now_ms)
+        return [log, core_effects.SendMessage(peer_id, heartbeat)]
+    peer.connected = True
+    peer.dialled_ms = now_ms
+    peer.relation = topology.current_relation(state.fleet, peer)
+    return [log, _full_heartbeat(state, peer, now_ms)]
 
 
 def note_peer_disconnected(state: gateway_state.State, peer_id: str) -> list[core_effects.Effect]:
     """Note that the connection to a peer has ended."""
+    state.fleet.connected_ids.discard(peer_id)
     peer = state.fleet.peers.get(peer_id)
     if peer is not None:
         peer.connected = False
+        peer.dialled_here = False
     return [core_effects.Log('peer_disconnected', (('peer', peer_id),))]
 
 
+def note_crash(
+    state: gateway_state.State, sender_id: str, crash: messages.CrashSeen, now_ms: float
+) -> list[core_effects.Effect]:
+    """Record a crash that a peer has seen, and pass it on along the tree."""
+    state.crashes.record_crash(crash.fingerprint, crash.server_id, now_ms)
+    return spread(state, crash, sender_id)
+
+
+def spread(
+    state: gateway_state.State, message: messages.GatewayMessage, sender_id: str | None = None
+) -> list[core_effects.Effect]:
+    """Return the effect that sends a message on along the tree.
+
+    Parameters
+    ----------
+    sender_id
+        Peer from which the message came; ``None`` for a message of this instance.
+    """
+    sender = state.fleet.peers.get(sender_id or '')
+    relations = {fleet.Relation.CHILD}
+    if sender_id is None:
+        relations |= {fleet.Relation.RELAY, fleet.Relation.PARENT}
+    elif sender is not None and sender.relation == fleet.Relation.CHILD:
+        relations.add(fleet.Relation.RELAY)
+    receivers = itertools.chain.from_iterable(
+        state.fleet.related_peers(relation) for relation in sorted(relations, key=repr)
+    )
+    receiver_ids = tuple(peer_id for peer_id in receivers if peer_id != sender_id)
+    return [core_effects.Multicast(receiver_ids, message)] if receiver_ids else []
+
+
 def tick(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Do what is due: dial peers, evaluate rollouts, send heartbeats and record rollout progress."""
     outputs: list[core_effects.Effect] = []
     if now_ms - state.fleet.last_check_ms >= const.FLEET_CHECK_INTERVAL_MS:
         state.fleet.last_check_ms = now_ms
-        state.quotas.expire_peers(now_ms)
-        outputs.extend(state.fleet.connection_effects(now_ms))
-        outputs.extend(_update_following(state, now_ms))
+        outputs.extend(_check_fleet(state, now_ms))
     verdicts = state.rollouts.reject_bad_candidates()
     outputs.extend(
         _log_verdict(verdict, state.fleet.own_member.instance_id) for verdict in verdicts
     )
-    if verdicts or now_ms - state.fleet.last_broadcast_ms >= state.fleet.heartbeat_interval_ms:
-        outputs.extend(broadcast_heartbeat(state, now_ms))
+    interval_ms = const.HEARTBEAT_INTERVAL_MS
+    if state.quotas.is_urgent and not state.fleet.is_mesh:
+        interval_ms = const.URGENT_HEARTBEAT_INTERVAL_MS
+    if verdicts or now_ms - state.fleet.last_broadcast_ms >= interval_ms:
+        outputs.extend(send_heartbeats(state, now_ms))
     outputs.extend(_write_due_statuses(state, now_ms))
     return outputs
 
 
-def broadcast_heartbeat(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
-    """Send a heartbeat with the changed accounts to all connected peers."""
+def send_heartbeats(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    """Send heartbeats with what has changed to all connected peers."""
     state.fleet.last_broadcast_ms = now_ms
-    if not any(peer.connected for peer in state.fleet.peers.values()):
+    state.quotas.is_urgent = False
+    outputs: list[core_effects.Effect] = []
+    for relation in (fleet.Relation.RELAY, fleet.Relation.PARENT, fleet.Relation.NONE):
+        receiver_ids = tuple(state.fleet.related_peers(relation))
+        if receiver_ids:
+            accounts = state.quotas.report_changes(now_ms) if _has_sums(relation) else ()
+            heartbeat = _make_heartbeat(state, relation, now_ms, accounts)
+            outputs.append(core_effects.Multicast(receiver_ids, heartbeat))
+    outputs.extend(
+        core_effects.SendMessage(child_id, _make_child_heartbeat(state, child_id, now_ms))
+        for child_id in state.fleet.related_peers(fleet.Relation.CHILD)
+    )
+    state.load_reports.clear()
+    return outputs
+
+
+def _has_sums(relation: fleet.Relation) -> bool:
+    return relation in {fleet.Relation.RELAY, fleet.Relation.PARENT}
+
+
+def _check_fleet(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    """Update the tree, the connections, the known sums and the duty to watch the store."""
+    outputs = _update_relay(state, now_ms)
+    state.quotas.expire_peers(now_ms)
+    if not state.fleet.is_mesh:
+        _forget_replaced_sums(state, now_ms)
+    outputs.extend(topology.connection_effects(state.fleet, now_ms))
+    outputs.extend(store_relay.update_following(state, now_ms))
+    return outputs
+
+
+def _update_relay(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    """Choose the relay of this instance; if it has changed, update the relations to all peers."""
+    relay_id = topology.choose_relay(state.fleet, now_ms)
+    outputs: list[core_effects.Effect] = []
+    if relay_id != state.fleet.relay_id:
+        state.fleet.relay_id = relay_id
+        state.fleet.relay_changed_ms = now_ms
+        outputs.append(core_effects.Log('relay_chosen', (('relay', relay_id),)))
+    for peer in state.fleet.peers.values():
+        outputs.extend(_update_relation(state, peer, now_ms))
+    return outputs
+
+
+def _update_relation(
+    state: gateway_state.State, peer: fleet.Peer, now_ms: float
+) -> list[core_effects.Effect]:
+    """Adopt the present relation to a peer; if it has changed, send all sums of the new one."""
+    relation = topology.current_relation(state.fleet, peer)
+    if relation == peer.relation:
         return []
-    return [core_effects.Broadcast(_make_heartbeat(state, state.quotas.report_changes(now_ms)))]
+    if relation == fleet.Relation.NONE and peer.relation != fleet.Relation.PARENT:
+        # Another relay speaks for the peer now. What came from a former relay stays until the
+        # sums of the new one arrive, since otherwise the accounts would seem idle.
+        state.quotas.forget_peer(peer.member.instance_id, now_ms)
+    peer.relation = relation
+    return [_full_heartbeat(state, peer, now_ms)] if peer.connected else []
+
+
+def _forget_replaced_sums(state: gateway_state.State, now_ms: float) -> None:
+    """Remove the sums of peers for which other peers speak now, and results of silent peers."""
+    silent_ids = [
+        peer_id
+        for peer_id in state.rollouts.peers
+        if peer_id not in state.fleet.peers or not state.fleet.peers[peer_id].is_heard(now_ms)
+    ]
+    for peer_id in silent_ids:
+        state.rollouts.peers.pop(peer_id)
+    if state.fleet.is_relay and now_ms - state.fleet.relay_changed_ms > const.RELAY_CHANGE_MS:
+        state.quotas.forget_peers_except(_summed_ids(state), now_ms)
+
+
+def _summed_ids(state: gateway_state.State) -> set[str]:
+    return {
+        peer_id
+        for peer_id, peer in state.fleet.peers.items()
+        if peer.relation != fleet.Relation.NONE
+    }
+
+
+def _apply_sums(
+    state: gateway_state.State, peer: fleet.Peer, heartbeat: messages.Heartbeat, now_ms: float
+) -> list[core_effects.Effect]:
+    """Apply the sums that a relay, a child or the own relay reports."""
+    peer_id = peer.member.instance_id
+    is_child = peer.relation == fleet.Relation.CHILD
+    if peer.relation == fleet.Relation.PARENT and not heartbeat.sums_id:
+        # The relay has not noticed yet that this instance reports to it.
+        return []
+    fleet_size = 0 if state.fleet.is_mesh else state.fleet.live_count(now_ms)
+    state.quotas.apply_heartbeat(
+        peer_id, heartbeat, now_ms, is_child=is_child, fleet_size=fleet_size
+    )
+    if peer.relation == fleet.Relation.PARENT:
+        state.quotas.forget_peers_except({peer_id}, now_ms)
+    elif not state.fleet.is_mesh:
+        _forget_failed_relays(state, peer, heartbeat, now_ms)
+    state.rollouts.peers[peer_id] = heartbeat.versions
+    state.load_reports.apply(heartbeat.loads, state.servers.views, now_ms, is_child=is_child)
+    return []
+
+
+def _forget_failed_relays(
+    state: gateway_state.State, reporter: fleet.Peer, heartbeat: messages.Heartbeat, now_ms: float
+) -> None:
+    """Remove the sums of the relays that the reporter has replaced in its failure domain."""
+    for peer_id in heartbeat.absent_ids:
+        peer = state.fleet.peers.get(peer_id)
+        if peer is not None and peer.relation == fleet.Relation.RELAY and not peer.is_heard(now_ms):
+            if peer.member.failure_domain == reporter.member.failure_domain:
+                state.quotas.forget_peer(peer_id, now_ms)
+
+
+def _apply_verdicts(
+    state: gateway_state.State, peer_id: str, heartbeat: messages.Heartbeat, now_ms: float
+) -> list[core_effects.Effect]:
+    """Apply verdicts on versions; a relay passes new ones on at once."""
+    new_verdicts = [
+        verdict for verdict in heartbeat.rejected_versions if state.rollouts.apply_verdict(verdict)
+    ]
+    outputs: list[core_effects.Effect] = [
+        _log_verdict(verdict, peer_id) for verdict in new_verdicts
+    ]
+    if new_verdicts and not state.fleet.is_mesh:
+        outputs.extend(send_heartbeats(state, now_ms))
+    return outputs
+
+
+def _full_heartbeat(
+    state: gateway_state.State, peer: fleet.Peer, now_ms: float
+) -> core_effects.SendMessage:
+    """Return a heartbeat with all sums that a peer gets."""
+    peer_id = peer.member.instance_id
+    if peer.relation == fleet.Relation.CHILD:
+        state.quotas.start_series(peer_id)
+        return core_effects.SendMessage(peer_id, _make_child_heartbeat(state, peer_id, now_ms))
+    accounts = state.quotas.report(now_ms) if _has_sums(peer.relation) else ()
+    heartbeat = _make_heartbeat(state, peer.relation, now_ms, accounts)
+    return core_effects.SendMessage(peer_id, heartbeat)
+
+
+def _make_child_heartbeat(
+    state: gateway_state.State, child_id: str, now_ms: float
+) -> messages.Heartbeat:
+    accounts = state.quotas.report_changes_to(child_id, now_ms)
+    return _make_heartbeat(state, fleet.Relation.CHILD, now_ms, accounts, child_id)
 
 
 def _make_heartbeat(
-    state: gateway_state.State, accounts: tuple[messages.AccountUsage, ...]
+    state: gateway_state.State,
+    relation: fleet.Relation,
+    now_ms: float,
+    accounts: tuple[messages.AccountUsage, ...] = (),
+    child_id: str = '',
 ) -> messages.Heartbeat:
+    reported = state.fleet.reported_peers(relation)
+    live = [peer for peer in reported if peer.is_live(now_ms)]
     return messages.Heartbeat(
         state.fleet.own_member.incarnation,
         state.replica.revision,
         state.replica.directly_reachable,
         state.is_stopping,
         accounts,
-        state.rollouts.report(),
+        _version_results(state, relation, child_id),
         tuple(sorted(state.rollouts.verdicts, key=repr)),
+        state.fleet.relay_id,
+        state.quotas.series_of(child_id) if child_id else 0,
+        state.quotas.has_silent_peers if child_id else False,
+        _ids(peer for peer in reported if not peer.is_live(now_ms)),
+        _ids(peer for peer in live if peer.leaving),
+        _ids(peer for peer in live if peer.store_reachable),
+        _loads(state, relation, now_ms),
     )
 
 
-def _relay_missing_changes(
-    state: gateway_state.State, peer_id: str, heartbeat: messages.Heartbeat
-) -> list[core_effects.Effect]:
-    """Return the store changes that a peer without contact to the store lacks."""
-    is_behind = heartbeat.store_revision < state.replica.revision
-    if heartbeat.store_reachable or not is_behind or not state.replica.directly_reachable:
-        return []
-    changes = state.replica.changes_after(heartbeat.store_revision)
-    relayed = _make_store_news(heartbeat.store_revision, state.replica.revision, changes)
-    return [core_effects.SendMessage(peer_id, relayed)]
-
-
-def _make_store_news(
-    base_revision: int, revision: int, changes: tuple[events.RecordRead, ...]
-) -> messages.StoreNews:
-    records = tuple(
-        messages.RelayedRecord(record.key, record.revision, record.content) for record in changes
-    )
-    return messages.StoreNews(base_revision, revision, records)
-
-
-def _update_following(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
-    """Start or stop watching the store when the role of this instance as a follower changes.
-
-    An instance watches until it has a first revision, and afterwards while it is a follower.
-    """
-    should_follow = not state.replica.revision or state.fleet.should_follow_store(now_ms)
-    if should_follow == state.is_store_follower:
-        return []
-    state.is_store_follower = should_follow
-    state.replica.directly_reachable = False
-    log_fields = (('enabled', should_follow), ('revision', state.replica.revision))
-    return [effects.FollowStore(should_follow), core_effects.Log('store_following', log_fields)]
+def _ids(peers: abc.Iterable[fleet.Peer]) -> tuple[str, ...]:
+    return tuple(sorted(peer.member.instance_id for peer in peers))
+
+
+def _loads(
+    state: gateway_state.State, relation: fleet.Relation, now_ms: float
+) -> tuple[messages.ServerLoad, ...]:
+    """Return the load reports that a peer with a relation lacks."""
+    reports = state.load_reports
+    match relation:
+        case fleet.Relation.NONE:
+            return ()
+        case fleet.Relation.CHILD:
+            return load_reports.make_messages({**reports.elsewhere, **reports.branch}, now_ms)
+        case _:
+            return load_reports.make_messages(reports.branch, now_ms)
+
+
+def _version_results(
+    state: gateway_state.State, relation: fleet.Relation, child_id: str
+) -> tuple[messages.VersionResults, ...]:
+    """Return the results of versions that a peer with a relation lacks."""
+    match relation:
+        case fleet.Relation.NONE:
+            return ()
+        case fleet.Relation.CHILD:
+            return state.rollouts.report_with(state.rollouts.peers.keys() - {child_id})
+        case _:
+            return state.rollouts.report_with(state.fleet.related_peers(fleet.Relation.CHILD))
 
 
 def _write_due_statuses(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
--- a/rhubarbspar/gateway/lifecycle.py
+++ b/rhubarbspar/gateway/lifecycle.py
@@ -18,7 +18,7 @@
     state.lifecycle.stop_requested_ms = now_ms
     log_fields = (('pending', len(state.pending)),)
     outputs: list[core_effects.Effect] = [core_effects.Log('stopping', log_fields), effects.Leave()]
-    return outputs + gossip.broadcast_heartbeat(state, now_ms)
+    return outputs + gossip.send_heartbeats(state, now_ms)
 
 
 def tick(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -12,12 +12,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AccountUsage:
-    """Requests of a client account at one instance.
+    """Requests of a client account at one or several instances.
 
     Attributes
     ----------
     admitted
-        Requests admitted since the start of the instance.
+        Requests admitted since the sums of the sender began.
     demand_per_s
         Current rate of requests, refused ones included.
     """
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionResults:
-    """Results of a version on one route at one instance, counted since the rollout request.
+    """Results of a version on one route, counted since the rollout request.
 
     Attributes
     ----------
@@ -61,9 +61,29 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Requests at a backend server, as it reported them with a response.
+
+    Attributes
+    ----------
+    requests
+        Running and waiting requests.
+    age_ms
+        Time since the report.
+    """
+
+    server_id: str
+    requests: int
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat(GatewayMessage):
-    """State of an instance, sent regularly to all peers.
+    """State of an instance, and the sums of the instances that it speaks for.
+
+    These are the sender and its children for another relay, the sender alone for its relay, and the
+    whole rest of the fleet for a child.
 
     Attributes
     ----------
@@ -74,10 +94,20 @@
     leaving
         Whether the sender is stopping.
     accounts
-        Accounts whose numbers have changed since the last heartbeat; all accounts in the first one
-        of a connection.
+        Accounts whose sums have changed since the last heartbeat; all accounts in the first one.
     rejected_versions
         Versions that the sender knows to be bad.
+    relay_id
+        Relay that the sender reports to, its own id if it is one; empty means the same.
+    sums_id
+        Number of the series of sums for the receiver; differences between two series mean nothing.
+    is_partial
+        Whether the sums include estimates for instances whose heartbeats have stopped.
+    absent_ids, leaving_ids, follower_ids
+        Instances of the sender's failure domain, or of the whole fleet for a child, that are not
+        live, that are leaving, and that watch the store.
+    loads
+        Recent load reports of backend servers.
     """
 
     incarnation: str
@@ -87,6 +117,13 @@
     accounts: tuple[AccountUsage, ...] = ()
     versions: tuple[VersionResults, ...] = ()
     rejected_versions: tuple[RejectedVersion, ...] = ()
+    relay_id: str = ''
+    sums_id: int = 0
+    is_partial: bool = False
+    absent_ids: tuple[str, ...] = ()
+    leaving_ids: tuple[str, ...] = ()
+    follower_ids: tuple[str, ...] = ()
+    loads: tuple[ServerLoad, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -7,6 +7,7 @@
 from rhubarbspar.gateway import admission
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import gossip
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import rollouts
@@ -78,6 +79,8 @@
     )
     if ended.load is not None:
         view.record_load_report(ended.load, now_ms)
+        requests = ended.load.running + ended.load.waiting
+        state.load_reports.record(view.server.server_id, requests, now_ms)
     if ended.connect_ms is not None:
         state.network.record_connect_time(view.server.failure_domain, ended.connect_ms)
     outputs = _record_server_result(state, attempt, ended, now_ms)
@@ -203,7 +206,7 @@
     fingerprints = state.crashes.confirm_crash(incarnation, now_ms)
     outputs: list[core_effects.Effect] = []
     for fingerprint in fingerprints:
-        outputs.append(core_effects.Broadcast(messages.CrashSeen(fingerprint, incarnation)))
+        outputs.extend(gossip.spread(state, messages.CrashSeen(fingerprint, incarnation)))
         fields = (('fingerprint', fingerprint), ('server', incarnation))
         outputs.append(core_effects.Log('crash_confirmed', fields))
     return outputs
--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -12,6 +12,7 @@
 
 import dataclasses
 import typing
+from collections import abc
 
 from rhubarbspar import const as package_const
 from rhubarbspar.gateway import buckets
@@ -28,6 +29,9 @@
 # The reports of a silent peer count for this long; by then its callers use other instances.
 PEER_KEPT_MS: typing.Final = 12_000
 RETRY_AFTER_MIN_MS: typing.Final = 100
+# Requests of an account, as a share of its burst, that are reported before the next heartbeat is
+# due.
+URGENT_BURST_SHARE: typing.Final = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,11 +42,17 @@
     ----------
     assumed_from_s
         ``assumed_s`` of the bucket at the last report of the peer.
+    silent_from_s
+        ``assumed_s`` of the bucket when the heartbeats of the peer stopped; ``None`` otherwise.
+    counted
+        Requests of the peer that are part of the sums of this instance.
     """
 
     admitted: int
     demand_per_s: float
     assumed_from_s: float
+    silent_from_s: float | None = None
+    counted: float = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,25 +61,47 @@
 
     Attributes
     ----------
+    series
+        Incarnation of the peer, and number of the series of its sums.
+    is_child
+        Whether the peer reports to this instance.
     reported
         Whether the peer has sent a complete report.
     silent
         Whether there was no heartbeat of the peer for ``SILENT_MS``.
+    is_partial
+        Whether its sums include estimates for instances whose heartbeats have stopped.
     """
 
-    incarnation: str
+    series: tuple[str, int]
     last_heartbeat_ms: float
+    is_child: bool = False
     reported: bool = False
     silent: bool = False
+    is_partial: bool = False
     uses: dict[str, _PeerUse] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class _SentSums:
+    """What was last sent to a child, by account, and the number of the series of the sums."""
+
+    sums_id: int
+    uses: dict[str, messages.AccountUsage] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(slots=True)
 class Quotas:
     """The buckets of all accounts by account id, and the peers by instance id.
 
     Attributes
     ----------
+    sent_to_children
+        Last report to each child.
+    last_sums_id
+        Number of the newest series of sums for a child.
+    is_urgent
+        Whether the peers should learn of admitted requests before the next heartbeat is due.
     guaranteed_share
         Least share of the burst that this instance may use at once, whatever its share of the
         demand.
@@ -77,6 +109,9 @@
 
     accounts: dict[str, buckets.Bucket] = dataclasses.field(default_factory=dict)
     peers: dict[str, _Peer] = dataclasses.field(default_factory=dict)
+    sent_to_children: dict[str, _SentSums] = dataclasses.field(default_factory=dict)
+    last_sums_id: int = 0
+    is_urgent: bool = False
     guaranteed_share: float = GUARANTEED_SHARE_MAX
 
     def admit(self, account: models.ClientAccount, now_ms: float) -> float | None:
@@ -96,17 +131,28 @@
         bucket.start(now_ms)
         bucket.demand.record(now_ms)
         bucket.refill(now_ms, self.guaranteed_share)
-        if bucket.try_acquire():
+        if bucket.try_acquire(is_partitioned=self.is_partial):
+            self._check_urgency(bucket)
             return None
         missing = 1 - bucket.tokens
         return max(RETRY_AFTER_MIN_MS, missing / account.rate_per_s * package_const.MS_PER_S)
 
+    @property
+    def is_partial(self) -> bool:
+        """Return whether some peer speaks for instances whose heartbeats have stopped."""
+        return any(peer.is_partial for peer in self.peers.values())
+
+    @property
+    def has_silent_peers(self) -> bool:
+        """Return whether the sums include estimates for instances that are not heard."""
+        return any(peer.is_partial or peer.silent for peer in self.peers.values())
+
     def report(self, now_ms: float) -> tuple[messages.AccountUsage, ...]:
-        """Return the admitted requests and the demand of every account at this instance."""
+        """Return the sums of every account at this instance and its children."""
         return tuple(
-            _account_use(account_id, bucket, now_ms)
+            _account_use(account_id, bucket.branch_sums(now_ms))
             for account_id, bucket in self.accounts.items()
-            if bucket.demand.updated_ms
+            if bucket.demand.updated_ms or bucket.children.admitted or bucket.children.demand_per_s
         )
 
     def report_changes(self, now_ms: float) -> tuple[messages.AccountUsage, ...]:
@@ -119,23 +165,77 @@
                 changes.append(use)
         return tuple(changes)
 
-    def apply_heartbeat(self, peer_id: str, heartbeat: messages.Heartbeat, now_ms: float) -> None:
+    def start_series(self, child_id: str) -> None:
+        """Begin a new series of sums for a child; the next report to it names all accounts."""
+        self.last_sums_id += 1
+        self.sent_to_children[child_id] = _SentSums(self.last_sums_id)
+
+    def series_of(self, child_id: str) -> int:
+        """Return the number of the series of sums for a child."""
+        if child_id not in self.sent_to_children:
+            self.start_series(child_id)
+        return self.sent_to_children[child_id].sums_id
+
+    def report_changes_to(self, child_id: str, now_ms: float) -> tuple[messages.AccountUsage, ...]:
+        """Return the changed sums of all instances without those that a child has reported."""
+        self.series_of(child_id)
+        sent = self.sent_to_children[child_id].uses
+        child = self.peers.get(child_id)
+        child_uses = {} if child is None else child.uses
+        changes = []
+        for account_id, bucket in self.accounts.items():
+            sums = bucket.fleet_sums(now_ms)
+            child_use = child_uses.get(account_id)
+            if child_use is not None:
+                sums = buckets.Sums(
+                    sums.admitted - child_use.counted, sums.demand_per_s - child_use.demand_per_s
+                )
+            use = _account_use(account_id, sums)
+            if use != sent.get(account_id):
+                sent[account_id] = use
+                changes.append(use)
+        return tuple(changes)
+
+    def apply_heartbeat(
+        self,
+        peer_id: str,
+        heartbeat: messages.Heartbeat,
+        now_ms: float,
+        *,
+        is_child: bool = False,
+        fleet_size: int = 0,
+    ) -> None:
         """Correct the buckets by what a peer reports.
 
         Accounts that the heartbeat leaves out have not changed since the last one.
+
+        Parameters
+        ----------
+        is_child
+            Whether the peer reports to this instance.
+        fleet_size
+            Number of instances; 0 if the peers are all there are.
         """
-        peer = self._refresh_peer(peer_id, heartbeat.incarnation, now_ms)
+        series = (heartbeat.incarnation, heartbeat.sums_id)
+        peer = self._refresh_peer(peer_id, series, now_ms, is_child=is_child)
+        peer.is_partial = heartbeat.is_partial
         self.guaranteed_share = min(
-            GUARANTEED_SHARE_MAX, GUARANTEED_EQUAL_PARTS / (1 + len(self.peers))
+            GUARANTEED_SHARE_MAX, GUARANTEED_EQUAL_PARTS / (fleet_size or 1 + len(self.peers))
         )
         reported_ids = {use.account_id for use in heartbeat.accounts}
         for account_id, last_use in peer.uses.items():
             if account_id not in reported_ids and last_use.demand_per_s:
-                self._correct(account_id, last_use, last_use.admitted, now_ms)
+                self._correct(peer, account_id, last_use.admitted, now_ms)
         for use in heartbeat.accounts:
             self._apply_use(peer, use, now_ms)
         peer.reported = True
 
+    def forget_peers_except(self, kept_ids: abc.Container[str], now_ms: float) -> None:
+        """Remove the peers whose requests other peers report now."""
+        for peer_id in tuple(self.peers):
+            if peer_id not in kept_ids:
+                self.forget_peer(peer_id, now_ms)
+
     def expire_peers(self, now_ms: float) -> None:
         """Mark peers without recent heartbeats as silent, and forget those that stay silent."""
         for peer_id, peer in tuple(self.peers.items()):
@@ -143,22 +243,40 @@
             if silent_ms > SILENT_MS and not peer.silent:
                 peer.silent = True
                 for account_id, use in peer.uses.items():
-                    self._refilled_bucket(account_id, now_ms).mark_silent(use.demand_per_s)
+                    bucket = self._refilled_bucket(account_id, now_ms)
+                    bucket.mark_silent(use.demand_per_s, is_child=peer.is_child)
+                    use.silent_from_s = bucket.assumed_s
             if silent_ms > PEER_KEPT_MS:
-                self._forget_peer(peer_id, now_ms)
+                self.forget_peer(peer_id, now_ms)
 
-    def _refresh_peer(self, peer_id: str, incarnation: str, now_ms: float) -> _Peer:
-        """Return the peer of a heartbeat; a new incarnation replaces the former one."""
+    def forget_peer(self, peer_id: str, now_ms: float) -> None:
+        """Remove a peer and its demand."""
+        peer = self.peers.pop(peer_id, None)
+        if peer is None:
+            return
+        for account_id, use in peer.uses.items():
+            bucket = self._refilled_bucket(account_id, now_ms)
+            if peer.is_child:
+                bucket.children.demand_per_s -= use.demand_per_s
+            if peer.silent:
+                bucket.remove_silent(use.demand_per_s, is_child=peer.is_child)
+            else:
+                bucket.peer_demand_per_s = max(0.0, bucket.peer_demand_per_s - use.demand_per_s)
+
+    def _refresh_peer(
+        self, peer_id: str, series: tuple[str, int], now_ms: float, *, is_child: bool
+    ) -> _Peer:
+        """Return the peer of a heartbeat; a new series of sums replaces the former one."""
         peer = self.peers.get(peer_id)
-        if peer is None or peer.incarnation != incarnation:
-            self._forget_peer(peer_id, now_ms)
-            peer = _Peer(incarnation, now_ms)
+        if peer is None or peer.series != series or peer.is_child != is_child:
+            self.forget_peer(peer_id, now_ms)
+            peer = _Peer(series, now_ms, is_child)
             self.peers[peer_id] = peer
         elif peer.silent:
             peer.silent = False
             for account_id, use in peer.uses.items():
                 bucket = self._refilled_bucket(account_id, now_ms)
-                bucket.remove_silent(use.demand_per_s)
+                bucket.remove_silent(use.demand_per_s, is_child=is_child)
                 bucket.peer_demand_per_s += use.demand_per_s
         peer.last_heartbeat_ms = now_ms
         return peer
@@ -171,29 +289,40 @@
             previously_admitted = 0 if peer.reported else use.admitted
             last_use = _PeerUse(previously_admitted, 0, self._bucket(use.account_id).assumed_s)
             peer.uses[use.account_id] = last_use
-        self._correct(use.account_id, last_use, use.admitted, now_ms)
-        self.accounts[use.account_id].peer_demand_per_s += use.demand_per_s - last_use.demand_per_s
+        self._correct(peer, use.account_id, use.admitted, now_ms)
+        added_per_s = use.demand_per_s - last_use.demand_per_s
+        bucket = self.accounts[use.account_id]
+        bucket.peer_demand_per_s += added_per_s
+        if peer.is_child:
+            bucket.children.demand_per_s += added_per_s
         last_use.demand_per_s = use.demand_per_s
 
-    def _correct(self, account_id: str, last_use: _PeerUse, admitted: int, now_ms: float) -> None:
+    def _correct(self, peer: _Peer, account_id: str, admitted: int, now_ms: float) -> None:
         """Deduct what a peer has admitted beyond what was assumed since its last report."""
         bucket = self._refilled_bucket(account_id, now_ms)
+        last_use = peer.uses[account_id]
         assumed = last_use.demand_per_s * (bucket.assumed_s - last_use.assumed_from_s)
         bucket.deduct_excess(admitted - last_use.admitted - assumed)
+        # The sums of this instance already include the estimate for the silent time.
+        silent_s = 0.0
+        if last_use.silent_from_s is not None:
+            silent_s = bucket.assumed_s - last_use.silent_from_s
+            last_use.silent_from_s = None
+        counted = admitted - last_use.admitted - last_use.demand_per_s * silent_s
+        last_use.counted += admitted - last_use.admitted
+        bucket.peers_admitted += counted
+        if peer.is_child:
+            bucket.children.admitted += counted
+            self._check_urgency(bucket)
         last_use.admitted = admitted
         last_use.assumed_from_s = bucket.assumed_s
 
-    def _forget_peer(self, peer_id: str, now_ms: float) -> None:
-        """Remove a peer and its demand."""
-        peer = self.peers.pop(peer_id, None)
-        if peer is None:
-            return
-        for account_id, use in peer.uses.items():
-            bucket = self._refilled_bucket(account_id, now_ms)
-            if peer.silent:
-                bucket.remove_silent(use.demand_per_s)
-            else:
-                bucket.peer_demand_per_s = max(0.0, bucket.peer_demand_per_s - use.demand_per_s)
+    def _check_urgency(self, bucket: buckets.Bucket) -> None:
+        """Note whether many requests were admitted since the last report."""
+        reported = 0 if bucket.reported is None else bucket.reported.admitted
+        unreported = bucket.admitted + bucket.children.admitted - reported
+        if unreported > max(1.0, bucket.burst * URGENT_BURST_SHARE):
+            self.is_urgent = True
 
     def _refilled_bucket(self, account_id: str, now_ms: float) -> buckets.Bucket:
         bucket = self._bucket(account_id)
@@ -208,8 +337,8 @@
         return bucket
 
 
-def _account_use(account_id: str, bucket: buckets.Bucket, now_ms: float) -> messages.AccountUsage:
+def _account_use(account_id: str, sums: buckets.Sums) -> messages.AccountUsage:
     """Return the report on an account; the demand is rounded to 0.1 requests per second."""
-    demand_per_s = bucket.demand.rate_at(now_ms)
-    reported_per_s = round(demand_per_s, 1) if demand_per_s >= buckets.DEMAND_MIN_PER_S else 0
-    return messages.AccountUsage(account_id, bucket.admitted, reported_per_s)
+    is_small = sums.demand_per_s < buckets.DEMAND_MIN_PER_S
+    reported_per_s = 0 if is_small else round(sums.demand_per_s, 1)
+    return messages.AccountUsage(account_id, round(sums.admitted), reported_per_s)
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -11,6 +11,7 @@
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_records
+from rhubarbspar.gateway import store_relay
 
 
 def reduce(
@@ -58,17 +59,18 @@
 ) -> list[core_effects.Effect]:
     match event:
         case events.StoreSnapshot(records, revision):
-            outputs = gossip.note_store_reachable(state, now_ms, revision)
+            outputs = store_relay.note_store_reachable(state, now_ms, revision)
             changed = state.replica.apply_snapshot(event, now_ms)
             return outputs + store_records.apply_records(state, changed, now_ms)
         case events.StoreChanged(records, revision):
-            base_revision = state.replica.revision
-            outputs = gossip.note_store_reachable(state, now_ms, revision)
+            base_revision = state.replica.changed_revision
+            outputs = store_relay.note_store_reachable(state, now_ms, revision)
             changed = state.replica.apply_changes(records, revision)
-            outputs.extend(gossip.relay_changes(state, base_revision, changed, now_ms))
-            return outputs + store_records.apply_records(state, changed, now_ms)
+            applied = store_records.apply_records(state, changed, now_ms)
+            return [*outputs, *store_relay.relay_changes(state, base_revision), *applied]
         case events.StoreLost(reason):
-            return gossip.note_store_lost(state, reason, now_ms)
+            outputs = store_relay.note_store_lost(state, reason)
+            return [*outputs, *gossip.send_heartbeats(state, now_ms)] if outputs else []
         case _:
             return []
 
@@ -82,9 +84,9 @@
         case core_events.MessageReceived(peer_id, messages.Heartbeat() as heartbeat):
             return gossip.receive_heartbeat(state, peer_id, heartbeat, now_ms)
         case core_events.MessageReceived(peer_id, messages.StoreNews() as relayed):
-            return gossip.apply_relayed_changes(state, peer_id, relayed, now_ms)
-        case core_events.MessageReceived(_, messages.CrashSeen(fingerprint, server_id)):
-            state.crashes.record_crash(fingerprint, server_id, now_ms)
+            return store_relay.apply_relayed_changes(state, peer_id, relayed, now_ms)
+        case core_events.MessageReceived(peer_id, messages.CrashSeen() as crash):
+            return gossip.note_crash(state, peer_id, crash, now_ms)
         case core_events.PeerConnected(peer_id):
             return gossip.note_peer_connected(state, peer_id, now_ms)
         case core_events.PeerDisconnected(peer_id):
--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -15,6 +15,7 @@
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import version_sums
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -267,6 +268,11 @@
             if self._is_current(key)
         )
 
+    def report_with(self, peer_ids: abc.Iterable[str]) -> tuple[messages.VersionResults, ...]:
+        """Return the sums of the results at this instance and of those that peers report."""
+        reports = [self.peers.get(peer_id, ()) for peer_id in peer_ids]
+        return version_sums.add_up([self.report(), *reports])
+
     def reject_bad_candidates(self) -> tuple[messages.RejectedVersion, ...]:
         """Reject the candidates whose results are worse; return the new verdicts."""
         found = []
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -93,6 +93,20 @@
         self.other_requests = max(0, load.running + load.waiting - self.running)
         self.reported_ms = now_ms
 
+    def record_load_elsewhere(self, requests: int, reported_ms: float) -> bool:
+        """Record a load report to another instance; return whether it is newer than the known one.
+
+        Parameters
+        ----------
+        requests
+            Running and waiting requests, those of this instance included.
+        """
+        if reported_ms <= self.reported_ms:
+            return False
+        self.other_requests = max(0, requests - self.running)
+        self.reported_ms = reported_ms
+        return True
+
     def record_refusal(self, load: events.LoadReport) -> None:
         """Record the load at which the server has refused a request."""
         self.full_load = max(load.slots, load.running + load.waiting)
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -10,6 +10,7 @@
 from rhubarbspar.gateway import crashes as poison_requests
 from rhubarbspar.gateway import fleet as gateway_fleet
 from rhubarbspar.gateway import groups as server_groups
+from rhubarbspar.gateway import load_reports as server_loads
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import quotas as account_quotas
 from rhubarbspar.gateway import rollouts as rollout_state
@@ -172,6 +173,9 @@
     object_history: affinity.ObjectHistory = dataclasses.field(
         default_factory=affinity.ObjectHistory
     )
+    load_reports: server_loads.LoadReports = dataclasses.field(
+        default_factory=server_loads.LoadReports
+    )
     quotas: account_quotas.Quotas = dataclasses.field(default_factory=account_quotas.Quotas)
     crashes: poison_requests.PoisonRequestDetector = dataclasses.field(
         default_factory=poison_requests.PoisonRequestDetector
--- a/rhubarbspar/gateway/store_records.py
+++ b/rhubarbspar/gateway/store_records.py
@@ -1,5 +1,6 @@
 """Apply store records: configuration, backend servers, rollouts, evacuations and members."""
 
+import dataclasses
 import typing
 
 from rhubarbspar import const as package_const
@@ -22,6 +23,7 @@
     outputs: list[core_effects.Effect] = []
     for record in records:
         if record.content is None:
+            state.replica.note_change(record)
             outputs.extend(_apply_deletion(state, record, now_ms))
         else:
             outputs.extend(_decode_and_apply(state, record, record.content, now_ms))
@@ -43,18 +45,33 @@
         decoded = state.decode(record.key, content, record.revision)
     except exceptions.RhubarbsparError as error:
         # The last readable record of the key stays in force.
+        state.replica.note_change(record)
         return [
             core_effects.Log(
                 'record_unreadable',
                 (('key', record.key), ('revision', record.revision), ('error', str(error))),
             )
         ]
+    known = state.declared.records.get(record.key)
+    if decoded is not None and _is_refresh(known, decoded):
+        state.replica.note_refresh(record)
+    else:
+        state.replica.note_change(record)
     if decoded is None:
         return []
     state.declared.records[record.key] = decoded
     return _apply_record(state, decoded, record, now_ms)
 
 
+def _is_refresh(known: gateway_state.Record | None, decoded: gateway_state.Record) -> bool:
+    """Return whether a backend server has only written its registration again."""
+    match known, decoded:
+        case models.BackendServer(), models.BackendServer():
+            return dataclasses.replace(known, sequence=decoded.sequence) == decoded
+        case _:
+            return False
+
+
 def _apply_record(
     state: gateway_state.State,
     decoded: gateway_state.Record,
@@ -78,7 +95,7 @@
             state.declared.evacuated_domains.add(failure_domain)
             state.declared.evacuation_epoch += 1
         case models.Member():
-            state.fleet.register(decoded)
+            state.fleet.register(decoded, now_ms)
     return [core_effects.Log('record_taken', (('key', record.key), ('revision', record.revision)))]
 
 
--- /dev/null
+++ b/rhubarbspar/gateway/store_relay.py
@@ -0,0 +1,166 @@
+"""Relay of store changes to the instances that do not watch the store, and who watches it.
+
+Pattern: one watcher of a region; its changes are passed on along the tree of the instances, ordered
+by the revision of the store.
+"""
+
+import typing
+
+from rhubarbspar.core import effects as core_effects
+from rhubarbspar.gateway import effects
+from rhubarbspar.gateway import events
+from rhubarbspar.gateway import fleet
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway import store_records
+
+_TREE: typing.Final = (fleet.Relation.CHILD, fleet.Relation.PARENT)
+
+
+def note_store_reachable(
+    state: gateway_state.State, now_ms: float, revision: int
+) -> list[core_effects.Effect]:
+    """Note that the store answered this instance."""
+    was_unreachable = not state.replica.reachable
+    state.replica.mark_reachable(revision, now_ms, state.fleet.earliest_store_contact_ms(now_ms))
+    state.replica.directly_reachable = state.is_store_follower
+    if was_unreachable:
+        return [core_effects.Log('store_regained', (('revision', state.replica.revision),))]
+    return []
+
+
+def note_store_lost(state: gateway_state.State, reason: str) -> list[core_effects.Effect]:
+    """Note that a call to the store failed."""
+    was_reachable = state.replica.reachable
+    state.replica.mark_unreachable()
+    if not was_reachable:
+        return []
+    log_fields = (('reason', reason), ('revision', state.replica.revision))
+    return [core_effects.Log('store_lost', log_fields)]
+
+
+def note_peer_contact(
+    state: gateway_state.State, heartbeat: messages.Heartbeat, now_ms: float
+) -> None:
+    """Note that the sender of a heartbeat, or an instance that it speaks for, reaches the store."""
+    is_reached = heartbeat.store_reachable or heartbeat.follower_ids
+    if is_reached and not state.is_store_follower:
+        state.replica.mark_reachable(0, now_ms, state.fleet.earliest_store_contact_ms(now_ms))
+
+
+def apply_relayed_changes(
+    state: gateway_state.State, peer_id: str, relayed: messages.StoreNews, now_ms: float
+) -> list[core_effects.Effect]:
+    """Apply store changes that a peer relays, if they continue from the known revision."""
+    replica = state.replica
+    if not state.is_store_follower:
+        replica.mark_reachable(0, now_ms, state.fleet.earliest_store_contact_ms(now_ms))
+    base_revision = replica.changed_revision
+    if relayed.revision <= replica.revision or relayed.base_revision > replica.revision:
+        return []
+    records = tuple(
+        events.RecordRead(record.key, record.revision, record.content) for record in relayed.records
+    )
+    log_fields = (('peer', peer_id), ('revision', relayed.revision), ('records', len(records)))
+    changed = replica.apply_changes(records, relayed.revision)
+    applied = store_records.apply_records(state, changed, now_ms)
+    passed_on = _pass_on(state, base_revision, peer_id)
+    return [core_effects.Log('news_relayed', log_fields), *passed_on, *applied]
+
+
+def relay_changes(state: gateway_state.State, base_revision: int) -> list[core_effects.Effect]:
+    """Relay changes from the store to the peers of the own region that do not watch it."""
+    if not state.replica.directly_reachable:
+        return []
+    receivers = [
+        peer_id
+        for peer_id, peer in state.fleet.peers.items()
+        if peer.connected and not peer.store_reachable and _is_fed_here(state, peer)
+    ]
+    return _send_changes(state, base_revision, receivers)
+
+
+def relay_missing_changes(
+    state: gateway_state.State, peer: fleet.Peer, now_ms: float
+) -> list[core_effects.Effect]:
+    """Return the store changes that a peer without contact to the store lacks."""
+    if peer.store_reachable or peer.store_revision >= state.replica.changed_revision:
+        return []
+    if not (state.replica.directly_reachable or _has_follower_behind(state, now_ms)):
+        return []
+    is_local = peer.member.region == state.fleet.own_member.region
+    if not is_local and state.fleet.has_follower(peer.member.region, now_ms):
+        return []
+    if peer.relation == fleet.Relation.NONE:
+        return []
+    return _send_changes(state, peer.store_revision, [peer.member.instance_id])
+
+
+def update_following(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    """Start or stop watching the store when the role of this instance as a follower changes.
+
+    An instance watches until it has a first revision, and afterwards while it is a follower.
+    """
+    if state.fleet.has_follower(state.fleet.own_member.region, now_ms):
+        state.fleet.region_has_follower_ms = now_ms
+    should_follow = not state.replica.revision or state.fleet.should_follow_store(now_ms)
+    if should_follow == state.is_store_follower:
+        return []
+    state.is_store_follower = should_follow
+    state.replica.directly_reachable = False
+    log_fields = (('enabled', should_follow), ('revision', state.replica.revision))
+    return [effects.FollowStore(should_follow), core_effects.Log('store_following', log_fields)]
+
+
+def _is_fed_here(state: gateway_state.State, peer: fleet.Peer) -> bool:
+    """Return whether this instance, watching the store, passes its changes to a peer."""
+    if peer.relation in _TREE:
+        return True
+    is_local = peer.member.region == state.fleet.own_member.region
+    return is_local and peer.relation == fleet.Relation.RELAY
+
+
+def _has_follower_behind(state: gateway_state.State, now_ms: float) -> bool:
+    """Return whether changes from the store reach the other instances through this one."""
+    if state.fleet.is_mesh or not state.fleet.is_relay:
+        return False
+    own = state.fleet.own_member
+    return state.fleet.has_follower(own.region, now_ms)
+
+
+def _pass_on(
+    state: gateway_state.State, base_revision: int, sender_id: str
+) -> list[core_effects.Effect]:
+    """Pass changes from a peer on: to the children, and from a child to the relays as well."""
+    sender = state.fleet.peers.get(sender_id)
+    receivers = state.fleet.related_peers(fleet.Relation.CHILD)
+    if sender is not None and sender.relation == fleet.Relation.CHILD:
+        receivers.extend(
+            peer_id
+            for peer_id in state.fleet.related_peers(fleet.Relation.RELAY)
+            if state.fleet.peers[peer_id].member.region == state.fleet.own_member.region
+        )
+    receivers = [
+        peer_id
+        for peer_id in receivers
+        if peer_id != sender_id and not state.fleet.peers[peer_id].store_reachable
+    ]
+    return _send_changes(state, base_revision, receivers)
+
+
+def _send_changes(
+    state: gateway_state.State, base_revision: int, receiver_ids: list[str]
+) -> list[core_effects.Effect]:
+    """Return the effect that sends the changes after a revision, if there are any."""
+    if not receiver_ids:
+        return []
+    changes = state.replica.changes_after(base_revision)
+    if not changes:
+        return []
+    records = tuple(
+        messages.RelayedRecord(record.key, record.revision, record.content) for record in changes
+    )
+    relayed = messages.StoreNews(base_revision, state.replica.revision, records)
+    if len(receiver_ids) == 1:
+        return [core_effects.SendMessage(receiver_ids[0], relayed)]
+    return [core_effects.Multicast(tuple(receiver_ids), relayed)]
--- a/rhubarbspar/gateway/store_replica.py
+++ b/rhubarbspar/gateway/store_replica.py
@@ -31,16 +31,22 @@
         Whether this instance itself watches the store and reaches it.
     last_contact_ms
         When the store, or a peer that reaches it, last answered.
+    changed_revision
+        Revision of the last change that instances without the store need to know.
+    refreshed
+        Revision of the last such change of the records that were written again without one.
     registration_grace_until_ms
         Until then a deleted registration may only have lapsed in a store outage and be renewed.
     """
 
     revision: int = 0
+    changed_revision: int = 0
     reachable: bool = False
     directly_reachable: bool = False
     last_contact_ms: float = float('-inf')
     registration_grace_until_ms: float = float('-inf')
     records: dict[str, events.RecordRead] = dataclasses.field(default_factory=dict)
+    refreshed: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def apply_snapshot(
         self, snapshot: events.StoreSnapshot, now_ms: float
@@ -84,8 +90,26 @@
         self.directly_reachable = False
 
     def changes_after(self, revision: int) -> tuple[events.RecordRead, ...]:
-        """Return the records and tombstones that are newer than a revision."""
-        return tuple(record for record in self.records.values() if record.revision > revision)
+        """Return the records and tombstones that have changed since a revision.
+
+        Records that were only written again are left out.
+        """
+        newer = (record for record in self.records.values() if record.revision > revision)
+        return tuple(
+            record for record in newer if self.refreshed.get(record.key, record.revision) > revision
+        )
+
+    def note_change(self, record: events.RecordRead) -> None:
+        """Note that the content of a record has changed."""
+        self.refreshed.pop(record.key, None)
+        self.changed_revision = max(self.changed_revision, record.revision)
+
+    def note_refresh(self, record: events.RecordRead) -> None:
+        """Note that a record was written again without a change.
+
+        Its last change is at most as new as the last change of all records.
+        """
+        self.refreshed.setdefault(record.key, self.changed_revision)
 
     def revision_of(self, key: str) -> int:
         """Return the revision of a key's last change, or 0 if the key does not exist."""
--- a/rhubarbspar/peers/connection.py
+++ b/rhubarbspar/peers/connection.py
@@ -20,6 +20,11 @@
         Authenticated identity of the other instance.
     websocket
         The open websocket.
+
+    Attributes
+    ----------
+    preferred
+        Whether the instance with the lower id has opened the connection.
     """
 
     def __init__(
@@ -28,6 +33,7 @@
         websocket: websocket_connection.Connection,
     ) -> None:
         self.identity = identity
+        self.preferred = False
         self._websocket = websocket
         self._send_queue: collections.deque[bytes] = collections.deque()
         self._queued_bytes = 0
--- a/rhubarbspar/peers/handshake.py
+++ b/rhubarbspar/peers/handshake.py
@@ -172,8 +172,8 @@
                 peer = self._verify(token, own_challenge)
             case _:
                 raise errors.HandshakeError('expected DiallerProof')
-        if peer.instance_id >= self._identity.instance_id:
-            raise errors.HandshakeError('only the instance with the lower id may dial')
+        if peer.instance_id == self._identity.instance_id:
+            raise errors.HandshakeError('dialler has the id of this instance')
         await self._send(websocket, ListenerProof(self._sign(peer.instance_id, challenge)))
         return peer
 
--- a/rhubarbspar/peers/transport.py
+++ b/rhubarbspar/peers/transport.py
@@ -133,6 +133,8 @@
         match effect:
             case effects.SendMessage(peer_id, message):
                 self._send([peer_id], message)
+            case effects.Multicast(peer_ids, message):
+                self._send(peer_ids, message)
             case effects.Broadcast(message):
                 self._send(self.peer_ids, message)
             case effects.DialPeer(peer_id, peer_address):
@@ -143,7 +145,7 @@
                 return False
         return True
 
-    def _send(self, peer_ids: list[str], message: messages.Message) -> None:
+    def _send(self, peer_ids: abc.Sequence[str], message: messages.Message) -> None:
         try:
             frame = self._codec.encode(message)
         except errors.CodecError as error:
@@ -157,8 +159,8 @@
                 self._count(const.REASON_SEND_QUEUE_FULL)
 
     def _dial(self, peer_id: str, peer_address: str) -> None:
-        if peer_id <= self._settings.instance_id:
-            self._count(const.REASON_WRONG_DIRECTION)
+        if peer_id == self._settings.instance_id:
+            self._count(const.REASON_OWN_ADDRESS)
             return
         dial = self._dials.get(peer_id)
         if dial is not None and dial[0] == peer_address:
@@ -192,7 +194,7 @@
             self._count(const.REASON_DIAL_FAILED)
         else:
             self._remove_dial(peer_id)
-            await self._run_connection(peer)
+            await self._run_connection(peer, preferred=self._settings.instance_id < peer_id)
             return
         self._remove_dial(peer_id)
 
@@ -214,10 +216,29 @@
             return
         finally:
             self._pending_handshakes -= 1
-        await self._start_task(self._run_connection(connection.PeerConnection(identity, websocket)))
+        preferred = identity.instance_id < self._settings.instance_id
+        peer = connection.PeerConnection(identity, websocket)
+        await self._start_task(self._run_connection(peer, preferred=preferred))
 
-    async def _run_connection(self, peer: connection.PeerConnection) -> None:
+    async def _run_connection(self, peer: connection.PeerConnection, *, preferred: bool) -> None:
+        """Use a connection until it ends, instead of any former one to the same peer.
+
+        If two instances dial each other at the same time, both keep the connection that the one
+        with the lower id has opened.
+
+        Parameters
+        ----------
+        preferred
+            Whether the instance with the lower id has opened the connection.
+        """
         peer_id = peer.identity.instance_id
+        former = self._connections.get(peer_id)
+        if former is not None and not preferred and former.identity == peer.identity:
+            if former.preferred:
+                self._count(const.REASON_DUPLICATE_CONNECTION)
+                peer.abort()
+                return
+        peer.preferred = preferred
         self._disconnect(peer_id)
         self._connections[peer_id] = peer
         self._deliver_soon(events.PeerConnected(peer_id, peer.identity.incarnation))
--- /dev/null
+++ b/tests/gateway/fleet_network.py
@@ -0,0 +1,197 @@
+"""Fleet of gateway reducers on a simulated network with delays, losses and partitions."""
+
+import heapq
+import itertools
+import random
+
+from rhubarbspar.core import effects as core_effects
+from rhubarbspar.core import events as core_events
+from rhubarbspar.gateway import effects
+from rhubarbspar.gateway import events
+from rhubarbspar.gateway import fleet as gateway_fleet
+from rhubarbspar.gateway import models
+from tests.gateway import conftest
+
+TICK_MS = 50
+DELAY_MIN_MS, DELAY_MAX_MS = 1, 40
+
+
+class Instance(conftest.Gateway):
+    """One instance of the fleet."""
+
+    def __init__(self, member, now_ms, regions):
+        """Create an instance without any records."""
+        super().__init__()
+        self.member = member
+        self.now_ms = now_ms
+        self.state.fleet = gateway_fleet.Fleet(member)
+        self.state.network.regions = regions
+        self.state.network.failure_domain = member.failure_domain
+        self.state.network.region = member.region
+        self.following = True
+        self.stopped = False
+        self.message_count = 0
+
+
+class FleetNetwork:
+    """Instances in failure domains, the connections between them, and a store.
+
+    Parameters
+    ----------
+    domains
+        Region of each failure domain.
+    size
+        Instances of each failure domain.
+    seed
+        Seed of the delays.
+    """
+
+    def __init__(self, domains, size, seed=1):
+        """Create and register all instances; they have 3 s to connect."""
+        self.now_ms = 1_000_000.0
+        self.random = random.Random(seed)
+        self.instances = {}
+        self.connections = set()
+        self.cut_pairs = set()
+        self.store_revision = 0
+        self.records = {}
+        self._domains = domains
+        self._queue = []
+        self._last_due_ms = {}
+        self._decoded = {}
+        self._numbers = itertools.count()
+        for domain, number in itertools.product(domains, range(size)):
+            self.start(f'{domain}-{number}', domain)
+        self.run(3000)
+
+    def start(self, instance_id, domain):
+        """Start an instance, or a new incarnation of it, and register it."""
+        incarnation = str(next(self._numbers))
+        region = self._domains[domain]
+        member = models.Member(instance_id, incarnation, domain, region, f'{instance_id}:80', '')
+        self.instances[instance_id] = Instance(member, self.now_ms, self._domains)
+        snapshot = tuple(
+            events.RecordRead(key, revision, content)
+            for key, (revision, content) in self.records.items()
+        )
+        self.instances[instance_id].records = self._decoded
+        if self.store_revision:
+            self._reduce(instance_id, events.StoreSnapshot(snapshot, self.store_revision))
+        self.write(f'members/{instance_id}', member)
+
+    def kill(self, instance_id):
+        """End the process of an instance; its connections are reset."""
+        self.instances.pop(instance_id)
+        for pair in [pair for pair in self.connections if instance_id in pair]:
+            self._disconnect(pair)
+
+    def cut(self, side):
+        """Cut the network between some instances and all others; messages are lost."""
+        others = self.instances.keys() - set(side)
+        self.cut_pairs = {frozenset(pair) for pair in itertools.product(side, others)}
+
+    def write(self, key, record):
+        """Write a record to the store; the instances that watch it get the change."""
+        self.store_revision += 1
+        content = None
+        if record is not None:
+            content = f'{key}@{self.store_revision}'.encode()
+            self._decoded[content] = record
+        self.records[key] = (self.store_revision, content)
+        change = events.StoreChanged(
+            (events.RecordRead(key, self.store_revision, content),), self.store_revision
+        )
+        for instance_id, instance in self.instances.items():
+            if instance.following:
+                self._later(instance_id, change)
+
+    def run(self, duration_ms):
+        """Let time pass; return the effects of all instances by instance id."""
+        outputs = {}
+        until_ms = self.now_ms + duration_ms
+        while self.now_ms < until_ms:
+            self.now_ms += TICK_MS
+            while self._queue and self._queue[0][0] <= self.now_ms:
+                _, _, instance_id, event, pair = heapq.heappop(self._queue)
+                if instance_id in self.instances and self._is_up(pair):
+                    outputs.setdefault(instance_id, []).extend(self._reduce(instance_id, event))
+            for instance_id in tuple(self.instances):
+                if not self.instances[instance_id].stopped:
+                    ticked = self._reduce(instance_id, events.ClockTicked())
+                    outputs.setdefault(instance_id, []).extend(ticked)
+        return outputs
+
+    def request(self, instance_id, **fields):
+        """Send a request to an instance; return whether it was admitted."""
+        instance = self.instances[instance_id]
+        instance.now_ms = self.now_ms
+        outputs = instance.request(**fields)
+        self._apply(instance_id, outputs)
+        return not any(
+            isinstance(output, effects.Refuse) and output.status == 429 for output in outputs
+        )
+
+    def _is_up(self, pair):
+        return pair is None or (pair in self.connections and pair not in self.cut_pairs)
+
+    def _reduce(self, instance_id, event):
+        instance = self.instances[instance_id]
+        instance.now_ms = self.now_ms
+        outputs = instance.reduce(event)
+        self._apply(instance_id, outputs)
+        return outputs
+
+    def _apply(self, instance_id, outputs):
+        for output in outputs:
+            match output:
+                case core_effects.SendMessage(peer_id, message):
+                    self._send(instance_id, peer_id, message)
+                case core_effects.Multicast(peer_ids, message):
+                    for peer_id in peer_ids:
+                        self._send(instance_id, peer_id, message)
+                case core_effects.DialPeer(peer_id, _):
+                    self._connect(instance_id, peer_id)
+                case core_effects.ClosePeer(peer_id):
+                    self._disconnect(frozenset((instance_id, peer_id)))
+                case effects.FollowStore(enabled):
+                    self.instances[instance_id].following = enabled
+                    if enabled:
+                        self._catch_up(instance_id)
+
+    def _catch_up(self, instance_id):
+        known = self.instances[instance_id].state.replica.revision
+        missed = tuple(
+            events.RecordRead(key, revision, content)
+            for key, (revision, content) in self.records.items()
+            if revision > known
+        )
+        self._later(instance_id, events.StoreChanged(missed, self.store_revision))
+
+    def _send(self, sender_id, receiver_id, message):
+        pair = frozenset((sender_id, receiver_id))
+        self.instances[sender_id].message_count += 1
+        if self._is_up(pair):
+            self._later(receiver_id, core_events.MessageReceived(sender_id, message), pair)
+
+    def _connect(self, dialler_id, peer_id):
+        pair = frozenset((dialler_id, peer_id))
+        if peer_id not in self.instances or pair in self.cut_pairs or pair in self.connections:
+            return
+        self.connections.add(pair)
+        for own_id, other_id in ((dialler_id, peer_id), (peer_id, dialler_id)):
+            incarnation = self.instances[other_id].member.incarnation
+            self._later(own_id, core_events.PeerConnected(other_id, incarnation), pair)
+
+    def _disconnect(self, pair):
+        self.connections.discard(pair)
+        for instance_id in pair & self.instances.keys():
+            (other_id,) = pair - {instance_id}
+            self._later(instance_id, core_events.PeerDisconnected(other_id))
+
+    def _later(self, instance_id, event, pair=None):
+        """Deliver an event after a random delay, in order within a connection."""
+        delay_ms = self.random.uniform(DELAY_MIN_MS, DELAY_MAX_MS)
+        stream = (instance_id, pair)
+        due_ms = max(self.now_ms + delay_ms, self._last_due_ms.get(stream, 0))
+        self._last_due_ms[stream] = due_ms
+        heapq.heappush(self._queue, (due_ms, next(self._numbers), instance_id, event, pair))
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -8,6 +8,7 @@
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import models
 from tests.gateway import conftest
 
 
@@ -51,10 +52,14 @@
 def test_crash_is_confirmed_by_an_unreachable_server_and_reported(gateway, delay_ms):
     """Guards against crashes that only the instance that detects them knows of."""
     gateway.declare('servers/stock-2', None)
+    member = models.Member('front-2', 'b', 'almaty-b', 'almaty', '10.0.0.2:80', '10.0.0.2:81')
+    gateway.declare('members/front-2', member)
+    gateway.reduce(core_events.PeerConnected('front-2', 'b'))
     started = conftest.single_effect(gateway.request(), effects.StartAttempt)
     gateway.reduce(conftest.ended(started, events.AttemptResult.BROKEN))
     gateway.now_ms += delay_ms
     other = conftest.single_effect(gateway.request('/stock/10'), effects.StartAttempt)
     outputs = gateway.reduce(conftest.ended(other, events.AttemptResult.UNREACHABLE))
-    broadcast = conftest.single_effect(outputs, core_effects.Broadcast)
+    broadcast = conftest.single_effect(outputs, core_effects.Multicast)
     assert broadcast.message.fingerprint == '/stock/1.workshop'
+    assert broadcast.peer_ids == ('front-2',)
--- a/tests/peers/test_handshake.py
+++ b/tests/peers/test_handshake.py
@@ -39,11 +39,12 @@
     """Guards against attributing messages to the wrong peer or incarnation."""
     identities = [handshake.Identity('b', '1'), handshake.Identity('a', '1')]
     assert asyncio.run(_run_handshake('a', 'b', 'b')) == identities
+    assert asyncio.run(_run_handshake('b', 'a', 'a')) == identities[::-1]
 
 
-@pytest.mark.parametrize('names', [('a', 'b', 'c'), ('c', 'b', 'b'), ('b', 'b', 'b')])
+@pytest.mark.parametrize('names', [('a', 'b', 'c'), ('c', 'b', 'a'), ('b', 'b', 'b')])
 def test_wrong_instance_ids_are_rejected_on_both_sides(names: tuple[str, str, str]) -> None:
-    """Guards against connecting to another instance at a reused address, or dialling both ways."""
+    """Guards against connecting to another instance at a reused address, or to the instance itself."""
     failed = asyncio.run(_run_handshake(*names))
     assert [type(error) for error in failed] == [errors.HandshakeError] * 2
 
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -13,6 +13,8 @@
 from rhubarbspar.core import effects
 from rhubarbspar.core import events
 from rhubarbspar.peers import const
+from rhubarbspar.peers import handshake
+from tests.peers import conftest
 
 MakeNode = abc.Callable[..., typing.Any]
 
@@ -57,6 +59,22 @@
     await _stop(low, high)
 
 
+async def test_dial_in_the_other_direction_leaves_the_connection_in_use(
+    make_node: MakeNode,
+) -> None:
+    """Guards against two instances that dial each other and close both connections for ever."""
+    low, high = await _connect(make_node)
+    handshaker = handshake.Handshaker(handshake.Identity('b', '1'), conftest.FLEET_KEY)
+    async with client.connect(f'ws://{low.address}/', proxy=None) as websocket:
+        await handshaker.dial(websocket, 'a')
+        await low.until(lambda: low.count(const.REASON_DUPLICATE_CONNECTION) == 1)
+    low.transport.apply(effects.SendMessage('b', routing_models.ForwardCancel('1')))
+    await high.until(lambda: isinstance(high.events[-1], events.MessageReceived))
+    assert [type(event) for event in low.events] == [events.PeerConnected]
+    assert (low.transport.peer_ids, high.transport.peer_ids) == (['b'], ['a'])
+    await _stop(low, high)
+
+
 @pytest.mark.parametrize('closer', [0, 1])
 async def test_both_sides_are_notified_of_a_close(make_node: MakeNode, closer: int) -> None:
     """Guards against keeping a connection that the peer has closed."""
@@ -88,7 +106,8 @@
         (effects.DialPeer('c', 'host:1'), const.REASON_ADDRESS_MALFORMED),
         (effects.DialPeer('c', '127.0.0.1:65536'), const.REASON_ADDRESS_MALFORMED),
         (effects.DialPeer('c', '127.0.0.1:0'), const.REASON_DIAL_FAILED),
-        (effects.DialPeer('a', '127.0.0.1:0'), const.REASON_WRONG_DIRECTION),
+        (effects.DialPeer('a', '127.0.0.1:0'), const.REASON_DIAL_FAILED),
+        (effects.DialPeer('b', '127.0.0.1:0'), const.REASON_OWN_ADDRESS),
         (effects.SendMessage('c', routing_models.ForwardCancel('1')), const.REASON_NOT_CONNECTED),
     ],
 )
