Read the first records at the full price again

Cause: the page does not say whether the revision of a stale answer is that of its items; if it is the present one, a watch from it misses the changes in between. That the stale read is the cause is not shown yet.

--- a/rhubarbspar/gateway/store_tasks.py
+++ b/rhubarbspar/gateway/store_tasks.py
@@ -64,7 +64,6 @@
         self._lease = 0
         self._deregistered = False
         self._revision = 0
-        self._is_first_read = True
         self._following = True
         self._closed = False
         self._following_started: defer.Deferred[None] | None = None
@@ -159,12 +158,7 @@
     async def _watch(self) -> None:
         """Read a snapshot if none is known, then deliver changes while this instance follows."""
         if not self._revision:
-            # A process without any records may start with old ones; the watch brings it up to
-            # date. After a compaction, old ones could precede the history that the store has.
-            snapshot, revision = await self._client.read_all(
-                platform_const.PREFIX_ALL, allow_stale=self._is_first_read
-            )
-            self._is_first_read = False
+            snapshot, revision = await self._client.read_all(platform_const.PREFIX_ALL)
             self._revision = revision
             self._deliver(events.StoreSnapshot(snapshot, revision))
         while self._following and not self._closed:
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -52,33 +52,23 @@
         self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS)
         self._calls: set[client.Call] = set()
 
-    async def read_all(
-        self, prefix: str, *, allow_stale: bool = False
-    ) -> tuple[tuple[events.RecordRead, ...], int]:
+    async def read_all(self, prefix: str) -> tuple[tuple[events.RecordRead, ...], int]:
         """Return all records below a prefix, and the revision to watch from.
 
         The records come in pages and form no snapshot. Changes that the pages miss are newer than
         the returned revision, so that a watch from it delivers them.
-
-        Parameters
-        ----------
-        allow_stale
-            Whether the records may be some seconds old; the store charges less for that.
         """
         records: list[events.RecordRead] = []
-        oldest_revision: int | None = None
+        first_revision: int | None = None
         after = ''
         while True:
             query = {'pathPrefix': prefix, 'after': after} if after else {'pathPrefix': prefix}
-            if allow_stale:
-                query['allowStale'] = _STALE_ALLOWED
             answer = await self._exchange(b'GET', '/kv-range', query)
-            # Records may change between pages, and a later page may be the staler one.
-            if oldest_revision is None or answer['at'] < oldest_revision:
-                oldest_revision = answer['at']
+            # Records may change between pages; the watch must start at the first page's revision.
+            first_revision = answer['at'] if first_revision is None else first_revision
             records.extend(_decode_record(row) for row in answer['items'])
             if not answer.get('hasMore') or not records:
-                return tuple(records), oldest_revision
+                return tuple(records), first_revision
             after = records[-1].key
 
     async def watch(
