Refuse at once behind a queue that leads past the deadline

Change: if a request has missed its deadline at a server within 2 s, and the expected time of the next one, corrected by the server's recent lateness, leads past its deadline as well, it is refused with a time to return.

--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -99,6 +99,8 @@
     is ejected if it has answered nothing since the attempt started.
     """
     elapsed_ms = now_ms - attempt.started_ms
+    attempt.view.record_lateness(elapsed_ms, attempt.expected_ms)
+    attempt.view.deadline_missed_ms = now_ms
     if elapsed_ms < attempt.expected_ms + uncached_processing_ms(state, pending.route):
         return
     attempt.view.record_failure(now_ms)
@@ -116,7 +118,7 @@
     view = attempt.view
     match ended.result:
         case events.AttemptResult.ANSWERED if ended.status < const.STATUS_SERVER_ERROR:
-            view.record_success(now_ms)
+            _record_success(attempt, now_ms)
             if not (attempt.was_queued or _has_queue(ended.load)):
                 _record_processing_time(state, attempt, now_ms)
             return []
@@ -138,6 +140,11 @@
     return []
 
 
+def _record_success(attempt: gateway_state.Attempt, now_ms: float) -> None:
+    attempt.view.record_success(now_ms)
+    attempt.view.record_lateness(now_ms - attempt.started_ms, attempt.expected_ms)
+
+
 def _version_result(
     state: gateway_state.State,
     attempt: gateway_state.Attempt,
--- a/rhubarbspar/gateway/placement.py
+++ b/rhubarbspar/gateway/placement.py
@@ -16,6 +16,9 @@
 from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
 
+# A queue that has made a request miss its deadline is expected to stand for this long.
+DEADLINE_MISSED_RECENT_MS: typing.Final = 2000
+
 _ANYWHERE: typing.Final[frozenset[str]] = frozenset()
 
 
@@ -53,18 +56,35 @@
 def is_overloaded(
     pending: gateway_state.PendingRequest, choice: selection.Choice, now_ms: float
 ) -> bool:
-    """Return whether a request is refused because of a standing queue at the chosen server.
+    """Return whether a request is refused because of the queue at the chosen server.
 
-    A request that was already sent to a server is never refused here.
+    That is the case if its response would come after the deadline, or if the queue has stood for
+    long. A request that was already sent to a server is never refused here.
     """
     if pending.send_count:
         return False
+    if _is_too_late(pending, choice, now_ms):
+        return True
     processing_ms = choice.expected_ms - choice.wait_ms
     objective_ms = pending.route.latency_objective_ms
     expected = overload.ExpectedTimes(choice.wait_ms, processing_ms, objective_ms)
     return choice.view.overload.should_refuse(expected, now_ms)
 
 
+def _is_too_late(
+    pending: gateway_state.PendingRequest, choice: selection.Choice, now_ms: float
+) -> bool:
+    """Return whether the queue of the best server delays the response beyond the deadline.
+
+    The server would still work on the request, at the cost of those that could be in time. An
+    estimate alone may rest on old reports, so another request must have missed its deadline there.
+    """
+    view = choice.view
+    if choice.load < view.slots or now_ms - view.deadline_missed_ms > DEADLINE_MISSED_RECENT_MS:
+        return False
+    return now_ms + choice.expected_ms * view.lateness > pending.due_ms
+
+
 def _untried(
     pending: gateway_state.PendingRequest, views: abc.Sequence[servers.ServerView]
 ) -> abc.Sequence[servers.ServerView]:
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -25,6 +25,10 @@
 SLOWDOWN_WEIGHT: typing.Final = 0.15
 SLOWDOWN_MIN: typing.Final = 0.5
 SLOWDOWN_MAX: typing.Final = 8.0
+# Weight of the newest response in the average error of the expected times, and the bounds of it.
+LATENESS_WEIGHT: typing.Final = 0.15
+LATENESS_MIN: typing.Final = 1.0
+LATENESS_MAX: typing.Final = 3.0
 # Time constant with which the failure rate decays.
 FAILURE_DECAY_MS: typing.Final = 4000
 # A server whose registration lapsed in a store outage is removed this long after the settling time
@@ -46,6 +50,10 @@
         Requests from elsewhere at the last load report.
     slowdown
         Processing time of the server, as a multiple of the typical time of its routes.
+    lateness
+        Response time of the server, queue included, as a multiple of the expected time.
+    deadline_missed_ms
+        When a request at the server last passed its deadline.
     failure_rate
         Moving average of failed attempts, 0 to 1, at ``failure_rate_ms``.
     last_answer_ms
@@ -66,6 +74,8 @@
     other_requests: float = 0
     reported_ms: float = -math.inf
     slowdown: float = 1
+    lateness: float = 1
+    deadline_missed_ms: float = -math.inf
     failure_rate: float = 0
     failure_rate_ms: float = -math.inf
     ejected_until_ms: float = -math.inf
@@ -162,6 +172,12 @@
         bounded = min(SLOWDOWN_MAX, max(SLOWDOWN_MIN, ratio))
         self.slowdown += (bounded - self.slowdown) * SLOWDOWN_WEIGHT
 
+    def record_lateness(self, elapsed_ms: float, expected_ms: float) -> None:
+        """Add the ratio of a response time to the expected one to the average."""
+        ratio = elapsed_ms / max(1.0, expected_ms)
+        bounded = min(LATENESS_MAX, max(LATENESS_MIN, ratio))
+        self.lateness += (bounded - self.lateness) * LATENESS_WEIGHT
+
     def is_cold(self, now_ms: float) -> bool:
         """Return whether the server is still cold after its start or an evacuation."""
         return now_ms < self.cold_until_ms
