--- a/tests/gateway/fleet_network.py
+++ b/tests/gateway/fleet_network.py
@@ -53,6 +53,7 @@
         self.instances = {}
         self.connections = set()
         self.cut_pairs = set()
+        self.turned_away = set()
         self.store_revision = 0
         self.records = {}
         self._domains = domains
@@ -102,9 +103,17 @@
             (events.RecordRead(key, self.store_revision, content),), self.store_revision
         )
         for instance_id, instance in self.instances.items():
-            if instance.following:
+            if instance.following and instance_id not in self.turned_away:
                 self._later(instance_id, change)
 
+    def turn_away(self, instance_ids):
+        """Let the store refuse the calls of some instances, and serve all others."""
+        served_again = self.turned_away - set(instance_ids)
+        self.turned_away = set(instance_ids)
+        for instance_id in served_again & self.instances.keys():
+            if self.instances[instance_id].following:
+                self._catch_up(instance_id)
+
     def run(self, duration_ms):
         """Let time pass; return the effects of all instances by instance id."""
         outputs = {}
@@ -116,6 +125,8 @@
                 if instance_id in self.instances and self._is_up(pair):
                     outputs.setdefault(instance_id, []).extend(self._reduce(instance_id, event))
             for instance_id in tuple(self.instances):
+                if instance_id in self.turned_away and self.instances[instance_id].following:
+                    self._reduce(instance_id, events.StoreLost('refused'))
                 if not self.instances[instance_id].stopped:
                     ticked = self._reduce(instance_id, events.ClockTicked())
                     outputs.setdefault(instance_id, []).extend(ticked)
@@ -159,6 +170,8 @@
                         self._catch_up(instance_id)
 
     def _catch_up(self, instance_id):
+        if instance_id in self.turned_away:
+            return
         known = self.instances[instance_id].state.replica.revision
         missed = tuple(
             events.RecordRead(key, revision, content)
--- a/tests/gateway/test_tree.py
+++ b/tests/gateway/test_tree.py
@@ -174,6 +174,30 @@
         assert instance.state.declared.evacuated_domains == {'a-1'}
 
 
+@pytest.mark.parametrize('seed', range(6))
+def test_changes_reach_all_instances_while_the_store_refuses_some(seed):
+    """Guards against instances that keep an old configuration.
+
+    The store refuses a third of the instances, among them relays and followers.
+    """
+    network = make_network(seed=seed)
+    names = sorted(network.instances)
+    for number in range(8):
+        network.turn_away(network.random.sample(names, 9))
+        network.run(network.random.uniform(0, 3000))
+        domain = network.random.choice(sorted(DOMAINS))
+        evacuated = models.Evacuation(domain) if number % 2 else None
+        network.write('evacuate/a-1', evacuated)
+        network.run(2000)
+        stale = [
+            key
+            for key, instance in network.instances.items()
+            if instance.state.replica.revision_of('evacuate/a-1')
+            != (network.store_revision if evacuated else 0)
+        ]
+        assert not stale, (number, stale)
+
+
 @pytest.mark.parametrize('load', [0.5, 0.8])
 def test_account_within_its_rate_is_admitted(network, load):
     """Guards against refusals of an account whose rate is divided among many instances."""
