Compute the sums of the fleet once for all children of a relay

Cause: a relay built the report on every account anew for each child; simulated with 198 instances and 140 accounts this was most of its 7.5% of a core. Change: the totals are computed once a round; only accounts that a child itself has reported differ from child to child. Measured (reducers of 198 instances in one process, 3 s, one run each): relays 7.2 to 7.5% of a core before, 3.9 to 4.2% after.

--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -15,6 +15,7 @@
 from rhubarbspar.gateway import load_reports
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import quotas
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_relay
 from rhubarbspar.gateway import topology
@@ -132,9 +133,11 @@
             accounts = state.quotas.report_changes(now_ms) if _has_sums(relation) else ()
             heartbeat = _make_heartbeat(state, relation, now_ms, accounts)
             outputs.append(core_effects.Multicast(receiver_ids, heartbeat))
+    child_ids = state.fleet.related_peers(fleet.Relation.CHILD)
+    totals = state.quotas.fleet_totals(now_ms) if child_ids else {}
     outputs.extend(
-        core_effects.SendMessage(child_id, _make_child_heartbeat(state, child_id, now_ms))
-        for child_id in state.fleet.related_peers(fleet.Relation.CHILD)
+        core_effects.SendMessage(child_id, _make_child_heartbeat(state, child_id, totals, now_ms))
+        for child_id in child_ids
     )
     state.load_reports.clear()
     return outputs
@@ -259,16 +262,21 @@
     peer_id = peer.member.instance_id
     if peer.relation == fleet.Relation.CHILD:
         state.quotas.start_series(peer_id)
-        return core_effects.SendMessage(peer_id, _make_child_heartbeat(state, peer_id, now_ms))
+        totals = state.quotas.fleet_totals(now_ms)
+        heartbeat = _make_child_heartbeat(state, peer_id, totals, now_ms)
+        return core_effects.SendMessage(peer_id, heartbeat)
     accounts = state.quotas.report(now_ms) if _has_sums(peer.relation) else ()
     heartbeat = _make_heartbeat(state, peer.relation, now_ms, accounts)
     return core_effects.SendMessage(peer_id, heartbeat)
 
 
 def _make_child_heartbeat(
-    state: gateway_state.State, child_id: str, now_ms: float
+    state: gateway_state.State,
+    child_id: str,
+    totals: abc.Mapping[str, quotas.FleetTotal],
+    now_ms: float,
 ) -> messages.Heartbeat:
-    accounts = state.quotas.report_changes_to(child_id, now_ms)
+    accounts = state.quotas.report_changes_to(child_id, totals)
     return _make_heartbeat(state, fleet.Relation.CHILD, now_ms, accounts, child_id)
 
 
--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -82,6 +82,14 @@
     uses: dict[str, _PeerUse] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetTotal:
+    """Sums of an account at all instances, and the report that they make."""
+
+    sums: buckets.Sums
+    use: messages.AccountUsage
+
+
 @dataclasses.dataclass(slots=True)
 class _SentSums:
     """What was last sent to a child, by account, and the number of the series of the sums."""
@@ -176,21 +184,26 @@
             self.start_series(child_id)
         return self.sent_to_children[child_id].sums_id
 
-    def report_changes_to(self, child_id: str, now_ms: float) -> tuple[messages.AccountUsage, ...]:
+    def fleet_totals(self, now_ms: float) -> dict[str, FleetTotal]:
+        """Return the sums of all instances by account; computed once for all children."""
+        totals = {}
+        for account_id, bucket in self.accounts.items():
+            sums = bucket.fleet_sums(now_ms)
+            totals[account_id] = FleetTotal(sums, _account_use(account_id, sums))
+        return totals
+
+    def report_changes_to(
+        self, child_id: str, totals: abc.Mapping[str, FleetTotal]
+    ) -> tuple[messages.AccountUsage, ...]:
         """Return the changed sums of all instances without those that a child has reported."""
         self.series_of(child_id)
         sent = self.sent_to_children[child_id].uses
         child = self.peers.get(child_id)
         child_uses = {} if child is None else child.uses
         changes = []
-        for account_id, bucket in self.accounts.items():
-            sums = bucket.fleet_sums(now_ms)
+        for account_id, total in totals.items():
             child_use = child_uses.get(account_id)
-            if child_use is not None:
-                sums = buckets.Sums(
-                    sums.admitted - child_use.counted, sums.demand_per_s - child_use.demand_per_s
-                )
-            use = _account_use(account_id, sums)
+            use = total.use if child_use is None else _without_child(total, child_use)
             if use != sent.get(account_id):
                 sent[account_id] = use
                 changes.append(use)
@@ -337,6 +350,15 @@
         return bucket
 
 
+def _without_child(total: FleetTotal, child_use: _PeerUse) -> messages.AccountUsage:
+    """Return the report on an account without the part of a child."""
+    sums = buckets.Sums(
+        total.sums.admitted - child_use.counted,
+        total.sums.demand_per_s - child_use.demand_per_s,
+    )
+    return _account_use(total.use.account_id, sums)
+
+
 def _account_use(account_id: str, sums: buckets.Sums) -> messages.AccountUsage:
     """Return the report on an account; the demand is rounded to 0.1 requests per second."""
     is_small = sums.demand_per_s < buckets.DEMAND_MIN_PER_S
