Send a child what it lacks even if the region has no follower

Change: a relay always sends its children what they lack; any other peer does so after 1 s without progress. An instance that is no relay watches the store after 1 s without a follower in its region, not 1.5 s. Test: fails before, test_instance_that_missed_a_change_gets_it_without_a_follower.

--- a/rhubarbspar/gateway/const.py
+++ b/rhubarbspar/gateway/const.py
@@ -26,8 +26,10 @@
 NEEDLESS_CONNECTION_MS: typing.Final = 5000
 # After a change of relay, sums that came from the former one are replaced within this time.
 RELAY_CHANGE_MS: typing.Final = 2000
+# A peer that has lacked changes of the store for this long gets them from any other one.
+CHANGES_OVERDUE_MS: typing.Final = 1000
 # An instance that is no relay watches the store if its region had no follower for this long.
-FOLLOWER_MISSING_MS: typing.Final = 1500
+FOLLOWER_MISSING_MS: typing.Final = 1000
 # Interval of checks of peer connections and of the choice of instances that watch the store.
 FLEET_CHECK_INTERVAL_MS: typing.Final = 200
 
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -63,6 +63,8 @@
         Id of the relay that the peer reports to, its own id if it is a relay; empty if unknown.
     relation
         The relation at the last check.
+    store_revision, revision_changed_ms
+        Store revision up to which the peer knows all changes, and when it last advanced.
     store_reachable_since_ms
         Since when it has been reported, without a gap, to reach the store.
     """
@@ -80,6 +82,7 @@
     relation: Relation = Relation.NONE
     store_reachable: bool = False
     store_revision: int = 0
+    revision_changed_ms: float = -math.inf
     leaving: bool = False
     store_reachable_since_ms: float = math.inf
 
@@ -97,7 +100,9 @@
         self.last_heartbeat_ms = now_ms
         self.failed_dials = 0
         self.relay_id = heartbeat.relay_id or self.member.instance_id
-        self.store_revision = heartbeat.store_revision
+        if heartbeat.store_revision != self.store_revision:
+            self.store_revision = heartbeat.store_revision
+            self.revision_changed_ms = now_ms
         self.leaving = heartbeat.leaving
 
     def record_store_contact(self, reachable: bool, now_ms: float, *, was_live: bool) -> None:
--- a/rhubarbspar/gateway/store_relay.py
+++ b/rhubarbspar/gateway/store_relay.py
@@ -7,6 +7,7 @@
 import typing
 
 from rhubarbspar.core import effects as core_effects
+from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import fleet
@@ -86,12 +87,8 @@
     """Return the store changes that a peer without contact to the store lacks."""
     if peer.store_reachable or peer.store_revision >= state.replica.changed_revision:
         return []
-    if not (state.replica.directly_reachable or _has_follower_behind(state, now_ms)):
-        return []
-    is_local = peer.member.region == state.fleet.own_member.region
-    if not is_local and state.fleet.has_follower(peer.member.region, now_ms):
-        return []
-    if peer.relation == fleet.Relation.NONE:
+    is_overdue = now_ms - peer.revision_changed_ms > const.CHANGES_OVERDUE_MS
+    if not (is_overdue or _is_responsible_for(state, peer, now_ms)):
         return []
     return _send_changes(state, peer.store_revision, [peer.member.instance_id])
 
@@ -120,12 +117,21 @@
     return is_local and peer.relation == fleet.Relation.RELAY
 
 
-def _has_follower_behind(state: gateway_state.State, now_ms: float) -> bool:
-    """Return whether changes from the store reach the other instances through this one."""
-    if state.fleet.is_mesh or not state.fleet.is_relay:
+def _is_responsible_for(state: gateway_state.State, peer: fleet.Peer, now_ms: float) -> bool:
+    """Return whether this instance is the first to send a peer the changes that it lacks.
+
+    A relay is for its children, an instance that watches the store for the relays of its region and
+    of regions without such an instance.
+    """
+    match peer.relation:
+        case fleet.Relation.CHILD:
+            return True
+        case fleet.Relation.NONE:
+            return False
+    if not state.replica.directly_reachable:
         return False
-    own = state.fleet.own_member
-    return state.fleet.has_follower(own.region, now_ms)
+    is_local = peer.member.region == state.fleet.own_member.region
+    return is_local or not state.fleet.has_follower(peer.member.region, now_ms)
 
 
 def _pass_on(
