Do not repeat changes that are on their way to a peer

Cause: a relay on a thin link (6 Mbit/s) delivered relayed changes to its 22 children 1.6 s late (front-aktobe-a-7, revision 729 known at 10.66 s, at its child at 12.30 s); sending the same changes again with every heartbeat of a child that is behind would fill the link for good. Change: what was sent to a peer counts as known to it for 2 s.

--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -65,6 +65,8 @@
         The relation at the last check.
     store_revision, revision_changed_ms
         Store revision up to which the peer knows all changes, and when it last advanced.
+    sent_revision, sent_ms
+        Store revision up to which this instance has sent the changes to the peer, and when.
     store_reachable_since_ms
         Since when it has been reported, without a gap, to reach the store.
     """
@@ -83,6 +85,8 @@
     store_reachable: bool = False
     store_revision: int = 0
     revision_changed_ms: float = -math.inf
+    sent_revision: int = 0
+    sent_ms: float = -math.inf
     leaving: bool = False
     store_reachable_since_ms: float = math.inf
 
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -67,7 +67,7 @@
             outputs = store_relay.note_store_reachable(state, now_ms, revision)
             changed = state.replica.apply_changes(records, revision)
             applied = store_records.apply_records(state, changed, now_ms)
-            return [*outputs, *store_relay.relay_changes(state, base_revision), *applied]
+            return [*outputs, *store_relay.relay_changes(state, base_revision, now_ms), *applied]
         case events.StoreLost(reason):
             outputs = store_relay.note_store_lost(state, reason)
             return [*outputs, *gossip.send_heartbeats(state, now_ms)] if outputs else []
--- a/rhubarbspar/gateway/store_relay.py
+++ b/rhubarbspar/gateway/store_relay.py
@@ -65,11 +65,13 @@
     log_fields = (('peer', peer_id), ('revision', relayed.revision), ('records', len(records)))
     changed = replica.apply_changes(records, relayed.revision)
     applied = store_records.apply_records(state, changed, now_ms)
-    passed_on = _pass_on(state, base_revision, peer_id)
+    passed_on = _pass_on(state, base_revision, peer_id, now_ms)
     return [core_effects.Log('news_relayed', log_fields), *passed_on, *applied]
 
 
-def relay_changes(state: gateway_state.State, base_revision: int) -> list[core_effects.Effect]:
+def relay_changes(
+    state: gateway_state.State, base_revision: int, now_ms: float
+) -> list[core_effects.Effect]:
     """Relay changes from the store to the peers of the own region that do not watch it."""
     if not state.replica.directly_reachable:
         return []
@@ -78,7 +80,7 @@
         for peer_id, peer in state.fleet.peers.items()
         if peer.connected and not peer.store_reachable and _is_fed_here(state, peer)
     ]
-    return _send_changes(state, base_revision, receivers)
+    return _send_changes(state, base_revision, receivers, now_ms)
 
 
 def relay_missing_changes(
@@ -90,7 +92,10 @@
     is_overdue = now_ms - peer.revision_changed_ms > const.CHANGES_OVERDUE_MS
     if not (is_overdue or _is_responsible_for(state, peer, now_ms)):
         return []
-    return _send_changes(state, peer.store_revision, [peer.member.instance_id])
+    base_revision = peer.store_revision
+    if now_ms - peer.sent_ms < const.CHANGES_RESENT_MS:
+        base_revision = max(base_revision, peer.sent_revision)
+    return _send_changes(state, base_revision, [peer.member.instance_id], now_ms)
 
 
 def update_following(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
@@ -135,7 +140,7 @@
 
 
 def _pass_on(
-    state: gateway_state.State, base_revision: int, sender_id: str
+    state: gateway_state.State, base_revision: int, sender_id: str, now_ms: float
 ) -> list[core_effects.Effect]:
     """Pass changes from a peer on: to the children, and from a child to the relays as well."""
     sender = state.fleet.peers.get(sender_id)
@@ -151,11 +156,11 @@
         for peer_id in receivers
         if peer_id != sender_id and not state.fleet.peers[peer_id].store_reachable
     ]
-    return _send_changes(state, base_revision, receivers)
+    return _send_changes(state, base_revision, receivers, now_ms)
 
 
 def _send_changes(
-    state: gateway_state.State, base_revision: int, receiver_ids: list[str]
+    state: gateway_state.State, base_revision: int, receiver_ids: list[str], now_ms: float
 ) -> list[core_effects.Effect]:
     """Return the effect that sends the changes after a revision, if there are any."""
     if not receiver_ids:
@@ -163,6 +168,9 @@
     changes = state.replica.changes_after(base_revision)
     if not changes:
         return []
+    for receiver_id in receiver_ids:
+        state.fleet.peers[receiver_id].sent_revision = state.replica.revision
+        state.fleet.peers[receiver_id].sent_ms = now_ms
     records = tuple(
         messages.RelayedRecord(record.key, record.revision, record.content) for record in changes
     )
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -3,6 +3,7 @@
 from rhubarbspar import exceptions
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.core import events as core_events
+from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import messages
@@ -193,3 +194,16 @@
     assert 'stock-1' in gateway.state.servers.views
     gateway.advance(2500)
     assert 'stock-1' not in gateway.state.servers.views
+
+
+def test_changes_on_their_way_are_not_sent_again(gateway):
+    """Guards against a thin link that repeated changes fill up, so that none arrives in time."""
+    gateway.declare('members/front-2', PEER)
+    gateway.reduce(core_events.PeerConnected('front-2', 'b'))
+    behind = heartbeat(store_reachable=False, store_revision=gateway.revision - 2)
+    assert conftest.single_effect(receive(gateway, behind), core_effects.SendMessage)
+    gateway.now_ms += 500
+    assert not receive(gateway, behind)
+    gateway.now_ms += const.CHANGES_RESENT_MS
+    sent = [out for out in receive(gateway, behind) if isinstance(out, core_effects.SendMessage)]
+    assert [len(out.message.records) for out in sent] == [2]
