Compress long lists of store changes between instances

Change: StoreNews from 1 KiB on is compressed with zlib; the receiver limits the size after decompression.

--- a/rhubarbspar/peers/codec.py
+++ b/rhubarbspar/peers/codec.py
@@ -12,6 +12,7 @@
 import operator
 import types
 import typing
+import zlib
 from collections import abc
 
 import cattrs
@@ -59,6 +60,11 @@
 )
 
 
+# First byte of zlib data with the usual window. A frame that is not compressed starts with the head
+# of a CBOR array of three elements, 0x83.
+_ZLIB_MAGIC: typing.Final = b'\x78'
+
+
 class Codec:
     """Encode messages as frames and decode frames.
 
@@ -94,6 +100,8 @@
             )
         except _CONVERSION_ERRORS as error:
             raise errors.MalformedFrameError(f'{name} cannot be encoded') from error
+        if name in const.COMPRESSED_TYPES and len(frame) >= const.COMPRESSED_MIN_BYTES:
+            frame = zlib.compress(frame, zlib.Z_BEST_SPEED)
         _check_size(frame)
         return frame
 
@@ -109,6 +117,8 @@
             If the frame is too large, malformed or has an unknown message type.
         """
         _check_size(frame)
+        if frame.startswith(_ZLIB_MAGIC):
+            frame = _decompress(frame)
         match _decode_cbor(frame):
             case [int(version), int() | str() as type_id, list(fields)] if (
                 version == package_const.PROTOCOL_VERSION and not isinstance(type_id, bool)
@@ -138,6 +148,19 @@
         raise errors.FrameTooLargeError(f'frame of {len(frame)} bytes is too large')
 
 
+def _decompress(frame: bytes) -> bytes:
+    """Return the content of a compressed frame; it has the same limit of size as any other."""
+    decompressor = zlib.decompressobj()
+    try:
+        content = decompressor.decompress(frame, const.FRAME_MAX_BYTES + 1)
+    except zlib.error as error:
+        raise errors.MalformedFrameError('frame is not valid zlib data') from error
+    _check_size(content)
+    if not decompressor.eof or decompressor.unused_data:
+        raise errors.MalformedFrameError('compressed frame is incomplete or has trailing bytes')
+    return content
+
+
 def _decode_cbor(frame: bytes) -> typing.Any:
     stream = io.BytesIO(frame)
     decoder = cbor2.CBORDecoder(
--- a/rhubarbspar/peers/const.py
+++ b/rhubarbspar/peers/const.py
@@ -7,6 +7,10 @@
 # Room in a frame for everything but the body of a request or response.
 ENVELOPE_MAX_BYTES: typing.Final = 65_536
 FRAME_MAX_BYTES: typing.Final = const.BODY_MAX_BYTES + ENVELOPE_MAX_BYTES
+# Messages that are compressed from this size on: changes of the store are long lists of similar
+# texts, which a relay sends to each of its children.
+COMPRESSED_TYPES: typing.Final = frozenset(('StoreNews',))
+COMPRESSED_MIN_BYTES: typing.Final = 1024
 # Nesting of arrays and maps within a frame.
 NESTING_DEPTH_MAX: typing.Final = 16
 # All CBOR tags below this number are rejected, because cbor2 converts some of them itself. The
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import typing
+import zlib
 
 import cbor2
 import hypothesis
@@ -11,6 +12,7 @@
 from rhubarbspar.components.membership import models as membership_models
 from rhubarbspar.components.routing import models as routing_models
 from rhubarbspar.core import messages
+from rhubarbspar.gateway import messages as gateway_messages
 from rhubarbspar.peers import codec
 from rhubarbspar.peers import const
 from rhubarbspar.peers import errors
@@ -171,3 +173,31 @@
         if typing.get_type_hints(kind)[field.name] is float and isinstance(field.default, int)
     ]
     assert not integer_defaults
+
+
+def test_long_list_of_changes_is_compressed() -> None:
+    """Guards against relayed changes that fill the thin link of a relay with many children."""
+    coder = codec.Codec(registry.collect_message_types((gateway_messages,)))
+    records = tuple(
+        gateway_messages.RelayedRecord(f'servers/i-{number}', number, b'{"service": "stock"}' * 10)
+        for number in range(100)
+    )
+    news = gateway_messages.StoreNews(1, 100, records)
+    frame = coder.encode(news)
+    assert len(frame) < 5000
+    assert coder.decode(frame) == news
+
+
+@pytest.mark.parametrize(
+    'frame',
+    [
+        zlib.compress(bytes(const.FRAME_MAX_BYTES + 1)),
+        zlib.compress(bytes(100))[:-1],
+        zlib.compress(b'\x83\x02\x01\x80') + b'0',
+        b'\x78\x00',
+    ],
+)
+def test_bad_compressed_frame_is_rejected(frame: bytes) -> None:
+    """Guards against a small frame that fills the memory, and against damaged frames."""
+    with pytest.raises(errors.CodecError):
+        codec.Codec().decode(frame)
