Send all changes again to a peer that makes no progress

Every new change renewed the time for which earlier ones counted as on their way, so that a peer that had missed one stayed behind for as long as the store kept changing.

--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -65,8 +65,9 @@
         The relation at the last check.
     store_revision, revision_changed_ms
         Store revision up to which the peer knows all changes, and when it last advanced.
-    sent_revision, sent_ms
-        Store revision up to which this instance has sent the changes to the peer, and when.
+    sent_revision, unconfirmed_ms
+        Store revision up to which this instance has sent the changes to the peer, and since when
+        the peer has not confirmed it.
     store_reachable_since_ms
         Since when it has been reported, without a gap, to reach the store.
     """
@@ -86,7 +87,7 @@
     store_revision: int = 0
     revision_changed_ms: float = -math.inf
     sent_revision: int = 0
-    sent_ms: float = -math.inf
+    unconfirmed_ms: float = -math.inf
     leaving: bool = False
     store_reachable_since_ms: float = math.inf
 
@@ -117,6 +118,23 @@
             self.store_reachable_since_ms = now_ms
         self.store_reachable = reachable
 
+    def record_sent_changes(self, revision: int, now_ms: float) -> None:
+        """Note that the changes up to a revision were sent to the peer."""
+        if self.store_revision >= self.sent_revision:
+            self.unconfirmed_ms = now_ms
+        self.sent_revision = revision
+
+    def next_unsent_revision(self, now_ms: float) -> int:
+        """Return the revision after which changes have to be sent to the peer.
+
+        Changes on their way are left out, unless the peer has made no progress for too long.
+        """
+        progress_ms = max(self.revision_changed_ms, self.unconfirmed_ms)
+        if now_ms - progress_ms < const.CHANGES_RESENT_MS:
+            return max(self.store_revision, self.sent_revision)
+        self.sent_revision = self.store_revision
+        return self.store_revision
+
     def is_heard(self, now_ms: float) -> bool:
         """Return whether a heartbeat of the peer itself has arrived within the timeout."""
         return now_ms - self.last_heartbeat_ms <= const.LIVENESS_TIMEOUT_MS
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -58,7 +58,7 @@
         return [log, core_effects.SendMessage(peer_id, heartbeat)]
     peer.connected = True
     peer.dialled_ms = now_ms
-    peer.sent_ms = -math.inf
+    peer.sent_revision = 0
     peer.relation = topology.current_relation(state.fleet, peer)
     return [log, _full_heartbeat(state, peer, now_ms)]
 
--- a/rhubarbspar/gateway/store_relay.py
+++ b/rhubarbspar/gateway/store_relay.py
@@ -92,9 +92,7 @@
     is_overdue = now_ms - peer.revision_changed_ms > const.CHANGES_OVERDUE_MS
     if not (is_overdue or _is_responsible_for(state, peer, now_ms)):
         return []
-    base_revision = peer.store_revision
-    if now_ms - peer.sent_ms < const.CHANGES_RESENT_MS:
-        base_revision = max(base_revision, peer.sent_revision)
+    base_revision = peer.next_unsent_revision(now_ms)
     return _send_changes(state, base_revision, [peer.member.instance_id], now_ms)
 
 
@@ -169,8 +167,7 @@
     if not changes:
         return []
     for receiver_id in receiver_ids:
-        state.fleet.peers[receiver_id].sent_revision = state.replica.revision
-        state.fleet.peers[receiver_id].sent_ms = now_ms
+        state.fleet.peers[receiver_id].record_sent_changes(state.replica.revision, now_ms)
     records = tuple(
         messages.RelayedRecord(record.key, record.revision, record.content) for record in changes
     )
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -207,3 +207,22 @@
     gateway.now_ms += const.CHANGES_RESENT_MS
     sent = [out for out in receive(gateway, behind) if isinstance(out, core_effects.SendMessage)]
     assert [len(out.message.records) for out in sent] == [2]
+
+
+def test_peer_that_rejects_changes_gets_all_of_them_while_new_ones_come(gateway):
+    """Guards against a peer that stays behind for ever because the store changes all the time."""
+    gateway.declare('members/front-2', PEER)
+    gateway.reduce(core_events.PeerConnected('front-2', 'b'))
+    known_revision = gateway.revision - 2
+    behind = heartbeat(store_reachable=False, store_revision=known_revision)
+    outputs = []
+    for number in range(6):
+        outputs.extend(receive(gateway, behind))
+        gateway.now_ms += 300
+        gateway.declare(f'evacuate/{number}', models.Evacuation(str(number)))
+    complete = [
+        out
+        for out in outputs[1:]
+        if isinstance(out, core_effects.SendMessage) and out.message.base_revision == known_revision
+    ]
+    assert complete
