--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,7 @@
 
 from rhubarbspar.components.configuration import models as configuration_models
 
-pytest_plugins = ('tests.sockets',)
+pytest_plugins = ('tests.known_red', 'tests.sockets')
 
 
 def pytest_addoption(parser: pytest.Parser) -> None:
