Log the rate limits that backend servers name

Cause: the logs could not tell whether an instance ignored a server's limit, obeyed it alone, or did not know it; no field named the limit.

Change: the adapter decodes Server-Limit; each change of a server's limit is logged, and attempt_started names the limit known at the time. Requests are still placed as before.

--- a/rhubarbspar/gateway/backend_client.py
+++ b/rhubarbspar/gateway/backend_client.py
@@ -119,6 +119,7 @@
                 requests.decode_load_report(outcome),
                 reused_connection=call.reused,
                 connect_ms=connect_ms,
+                limit_per_s=requests.decode_rate_limit(outcome),
             )
         case errors.ConnectError():
             result = events.AttemptResult.UNREACHABLE
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -69,6 +69,9 @@
         HTTP status, 0 without a response.
     connect_ms
         Time to open the connection; ``None`` for one that was open already.
+    limit_per_s
+        Requests a second that the server takes from all instances together; ``None`` if the
+        response names no limit.
     """
 
     attempt_number: int
@@ -77,6 +80,7 @@
     load: LoadReport | None = None
     reused_connection: bool = False
     connect_ms: float | None = None
+    limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -12,6 +12,7 @@
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import rollouts
 from rhubarbspar.gateway import selection
+from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
 
 # Processing time of a route before any response, as a multiple of its latency objective.
@@ -26,6 +27,11 @@
     )
 )
 
+# Results with a response of the expected server.
+_FROM_THE_SERVER: typing.Final = frozenset(
+    (events.AttemptResult.ANSWERED, events.AttemptResult.NOT_RUN)
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _VersionResult:
@@ -84,6 +90,8 @@
     if ended.connect_ms is not None:
         state.network.record_connect_time(view.server.failure_domain, ended.connect_ms)
     outputs = _record_server_result(state, attempt, ended, now_ms)
+    if ended.result in _FROM_THE_SERVER:
+        outputs.extend(_record_rate_limit(view, ended.limit_per_s))
     return [core_effects.Count(const.METRIC_ATTEMPTS, ended.result.value), *outputs]
 
 
@@ -140,6 +148,22 @@
     return []
 
 
+def _record_rate_limit(
+    view: servers.ServerView, limit_per_s: float | None
+) -> list[core_effects.Effect]:
+    """Record the rate limit that a response names; log a change."""
+    previous_per_s = view.limit_per_s
+    if limit_per_s == previous_per_s:
+        return []
+    view.limit_per_s = limit_per_s
+    fields = (
+        ('server', view.server.server_id),
+        ('limit_per_s', limit_per_s),
+        ('previous_per_s', previous_per_s),
+    )
+    return [core_effects.Log('server_limit_changed', fields)]
+
+
 def _record_success(attempt: gateway_state.Attempt, now_ms: float) -> None:
     attempt.view.record_success(now_ms)
     attempt.view.record_lateness(now_ms - attempt.started_ms, attempt.expected_ms)
--- a/rhubarbspar/gateway/responses.py
+++ b/rhubarbspar/gateway/responses.py
@@ -103,6 +103,7 @@
         ('version', server.version),
         ('load', round(choice.load, 1)),
         ('load_age_ms', _age_ms(choice.view.reported_ms, now_ms)),
+        ('limit_per_s', choice.view.limit_per_s),
         ('expected_ms', round(choice.expected_ms)),
         ('object', pending.request.object_key),
         ('gain', round(choice.gain, 2)),
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -64,6 +64,9 @@
         When the next request may be sent to the cold server.
     full_load
         Load at which the server last refused a request; infinity if it never did.
+    limit_per_s
+        Requests a second that the server takes from all instances together; ``None`` if its last
+        response named no limit.
     overload
         Detector of a standing queue at the server.
     """
@@ -85,6 +88,7 @@
     next_cold_request_ms: float = -math.inf
     slots: int = 1
     full_load: float = math.inf
+    limit_per_s: float | None = None
     overload: server_overload.StandingQueueDetector = dataclasses.field(
         default_factory=server_overload.StandingQueueDetector
     )
--- a/rhubarbspar/platform/const.py
+++ b/rhubarbspar/platform/const.py
@@ -9,6 +9,8 @@
 # The only backend server that may run the request; another one answers STATUS_MISDIRECTED.
 HEADER_EXPECTED_SERVER: typing.Final = b'x-rhubarbspar-target-instance'
 HEADER_LOAD: typing.Final = b'x-rhubarbspar-server-load'
+# Requests a second that a backend server takes from all instances together.
+HEADER_RATE_LIMIT: typing.Final = b'server-limit'
 HEADER_NOT_RUN: typing.Final = b'x-rhubarbspar-not-executed'
 HEADER_AUTHORIZATION: typing.Final = b'authorization'
 HEADER_COOKIE: typing.Final = b'cookie'
--- a/rhubarbspar/platform/requests.py
+++ b/rhubarbspar/platform/requests.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import math
 from urllib import parse as urls
 
 from rhubarbspar import const as package_const
@@ -86,6 +87,19 @@
     return events.LoadReport(running, waiting, slots)
 
 
+def decode_rate_limit(response: messages.Response) -> float | None:
+    """Return the rate limit that a response names, requests per second.
+
+    ``None`` if it names none, or no finite number of at least 0.
+    """
+    raw = messages.find_header(response.headers, const.HEADER_RATE_LIMIT)
+    try:
+        limit_per_s = math.nan if raw is None else float(raw)
+    except ValueError:
+        return None
+    return limit_per_s if 0 <= limit_per_s < math.inf else None
+
+
 def encode_relayed_response(response: messages.Response) -> messages.Response:
     """Return a backend server's response without its hop-by-hop headers, for the caller."""
     headers = tuple(messages.end_to_end(response.headers))
--- a/tests/gateway/test_outcomes.py
+++ b/tests/gateway/test_outcomes.py
@@ -1,5 +1,6 @@
 """Updates of servers and routes by the results of attempts."""
 
+from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import outcomes
@@ -19,3 +20,21 @@
         gateway.reduce(conftest.ended(started, answered, status=200, load=load))
         learned_ms = outcomes.processing_time(gateway.state, conftest.READS).mean_ms
         assert (learned_ms == initial_ms) == bool(waiting)
+
+
+def test_change_of_a_rate_limit_is_logged_once(gateway):
+    """Guards against an incident whose logs do not tell which instance knew of a server's limit."""
+    logged = []
+    for limit_per_s in (None, 4.8, 4.8, None):
+        gateway.declare('servers/stock-2', None)
+        started = conftest.single_effect(gateway.request(), effects.StartAttempt)
+        result = conftest.ended(
+            started, events.AttemptResult.ANSWERED, status=200, limit_per_s=limit_per_s
+        )
+        outputs = gateway.reduce(result)
+        logged.extend(
+            output.fields
+            for output in outputs
+            if isinstance(output, core_effects.Log) and output.name == 'server_limit_changed'
+        )
+    assert [dict(fields)['limit_per_s'] for fields in logged] == [4.8, None]
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -93,6 +93,25 @@
     assert requests.decode_load_report(response) == events.LoadReport(running=3, waiting=1, slots=8)
 
 
+@pytest.mark.parametrize(
+    ('raw', 'limit_per_s'),
+    [
+        (b'4.8', 4.8),
+        (b'0', 0),
+        (b'12', 12),
+        (b'', None),
+        (b'x', None),
+        (b'-1', None),
+        (b'inf', None),
+    ],
+)
+def test_rate_limit_is_decoded(raw, limit_per_s):
+    """Guards against ignoring the limit that a server names, or taking a malformed one for 0."""
+    response = messages.Response(503, ((b'server-limit', raw),))
+    assert requests.decode_rate_limit(response) == limit_per_s
+    assert requests.decode_rate_limit(messages.Response(200)) is None
+
+
 def test_refusal_has_a_retry_after_in_seconds():
     """Guards against callers that retry at once, or much too late because of a wrong unit."""
     response = requests.encode_refusal(effects.Refuse(1, 503, 'servers_full', 250))
