Keep the rate limits of backend servers over all instances

Cause: no instance read the limit, and an instance that rarely sends to a server would have learned of it up to 17 s later. Class of fault: a budget that many instances share. Obeyed by each instance alone, or divided into parts below one request in the window, it would still be exceeded by the first request of each instance.

Change: the limit of a response goes to all peers with the load reports, and with the first heartbeat to an instance that connects. The limit is divided among a few holders only, so that each may send a request a second; they are the first present instances in an order of rendezvous hashing, those of the server's region first. Holders pace their requests. A silent peer keeps its share for 12 s, a stopping instance has none. While nobody uses a limit, one more instance may after every 2 s, so that a server is not left idle and the end of its limit becomes known.

--- a/rhubarbspar/gateway/const.py
+++ b/rhubarbspar/gateway/const.py
@@ -11,6 +11,9 @@
 # A peer that a relay has reported as live stays so for this long; longer than the timeout, since
 # the report of the next relay takes some time when a relay has failed.
 REPORTED_LIVE_TIMEOUT_MS: typing.Final = 2500
+# A silent peer keeps its shares of servers' rate limits for this long: it may be restarting, or cut
+# off from this instance but not from the servers. By then its callers use other instances.
+PRESENT_TIMEOUT_MS: typing.Final = 12_000
 # A newly registered peer is presumed to be starting for this long.
 PRESUMED_LIVE_MS: typing.Final = 2000
 # Up to this size of the fleet, every instance exchanges heartbeats with every other one.
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -207,6 +207,8 @@
     pending.send_count += 1
     view.running += 1
     state.region_shares.record(state.network.regions.get(server.failure_domain, ''), now_ms)
+    if view.limit is not None:
+        view.limit.record_sent(now_ms)
     if view.is_cold(now_ms):
         view.pace(now_ms, store_records.cold_interval_ms(state, server.service_id, now_ms))
     state.rollouts.record_sent(attempt.result_key, now_ms)
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -39,6 +39,14 @@
     PARENT = enum.auto()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HolderOrderKey:
+    """A backend server and its region, which decide the order of the holders of its rate limit."""
+
+    server_id: str
+    region: str
+
+
 @dataclasses.dataclass(slots=True)
 class Peer:
     """A peer: its registration, connection and last heartbeat.
@@ -145,6 +153,11 @@
             return True
         return now_ms - self.reported_live_ms <= const.REPORTED_LIVE_TIMEOUT_MS
 
+    def is_present(self, now_ms: float) -> bool:
+        """Return whether the peer may be running, although it may be silent now."""
+        seen_ms = max(self.last_heartbeat_ms, self.reported_live_ms, self.presumed_until_ms)
+        return now_ms - seen_ms <= const.PRESENT_TIMEOUT_MS
+
     def is_dial_due(self, now_ms: float, doublings_max: int) -> bool:
         """Return whether the peer may be dialled; the interval doubles with each failure."""
         exponent = min(self.failed_dials, doublings_max)
@@ -173,6 +186,8 @@
         Ids of the connected peers, including those whose registration is not known yet.
     ranks
         Cached order in which the instances of each failure domain are preferred as relays.
+    holder_orders
+        Cached order in which the instances are chosen as holders of a server's rate limit.
     """
 
     own_member: models.Member
@@ -184,6 +199,7 @@
     last_broadcast_ms: float = -math.inf
     connected_ids: set[str] = dataclasses.field(default_factory=set)
     ranks: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    holder_orders: dict[HolderOrderKey, tuple[str, ...]] = dataclasses.field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Start as a relay; without peers there is nobody to report to."""
@@ -195,7 +211,7 @@
             return
         peer = self.peers.get(member.instance_id)
         if peer is None or peer.member.incarnation != member.incarnation:
-            self.ranks.clear()
+            self._clear_orders()
             presumed_until_ms = now_ms + const.PRESUMED_LIVE_MS
             registered = Peer(member, presumed_until_ms=presumed_until_ms)
             if member.instance_id in self.connected_ids:
@@ -209,7 +225,7 @@
         """Remove a peer whose registration was deleted, unless it is still live."""
         peer = self.peers.get(instance_id)
         if peer is not None and not peer.is_live(now_ms):
-            self.ranks.clear()
+            self._clear_orders()
             self.peers.pop(instance_id)
 
     @property
@@ -230,6 +246,18 @@
         """Return the number of live instances, this one included."""
         return 1 + len(self.live_peers(now_ms))
 
+    def present_ids(self, now_ms: float) -> frozenset[str]:
+        """Return the ids of the instances that may send requests to servers, this one included.
+
+        A silent peer counts for some time: it may be cut off from this instance only.
+        """
+        present = [
+            peer_id
+            for peer_id, peer in self.peers.items()
+            if not peer.leaving and peer.is_present(now_ms)
+        ]
+        return frozenset((self.own_member.instance_id, *present))
+
     def related_peers(self, relation: Relation) -> list[str]:
         """Return the ids of the connected peers with a relation."""
         return [
@@ -329,6 +357,11 @@
                 self.ranks[domain] = rendezvous.rank(domain, ids)
         return self.ranks
 
+    def _clear_orders(self) -> None:
+        """Drop the orders that depend on the registered instances."""
+        self.ranks.clear()
+        self.holder_orders.clear()
+
     def _speaks_for(self, reporter: Peer, peer: Peer) -> bool:
         if peer is reporter or self.is_mesh:
             return False
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -4,6 +4,7 @@
 neighbour the sum of what it has from the others.
 """
 
+import dataclasses
 import itertools
 import math
 from collections import abc
@@ -16,6 +17,7 @@
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import quotas
+from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_relay
 from rhubarbspar.gateway import topology
@@ -226,8 +228,16 @@
     elif not state.fleet.is_mesh:
         _forget_failed_relays(state, peer, heartbeat, now_ms)
     state.rollouts.peers[peer_id] = heartbeat.versions
-    state.load_reports.apply(heartbeat.loads, state.servers.views, now_ms, is_child=is_child)
-    return []
+    limit_news = state.load_reports.apply(
+        heartbeat.loads, state.servers.views, now_ms, is_child=is_child
+    )
+    outputs: list[core_effects.Effect] = []
+    for server_id, reported in limit_news.items():
+        view = state.servers.views[server_id]
+        outputs.extend(
+            server_limits.record_limit(state, view, reported.limit_per_s, reported.reported_ms)
+        )
+    return outputs
 
 
 def _forget_failed_relays(
@@ -259,15 +269,17 @@
 def _full_heartbeat(
     state: gateway_state.State, peer: fleet.Peer, now_ms: float
 ) -> core_effects.SendMessage:
-    """Return a heartbeat with all sums that a peer gets."""
+    """Return a heartbeat with all sums that a peer gets, and all known rate limits."""
+    limits = server_limits.known_limits(state, now_ms)
     peer_id = peer.member.instance_id
     if peer.relation == fleet.Relation.CHILD:
         state.quotas.start_series(peer_id)
         totals = state.quotas.fleet_totals(now_ms)
         heartbeat = _make_child_heartbeat(state, peer_id, totals, now_ms)
-        return core_effects.SendMessage(peer_id, heartbeat)
-    accounts = state.quotas.report(now_ms) if _has_sums(peer.relation) else ()
-    heartbeat = _make_heartbeat(state, peer.relation, now_ms, accounts)
+    else:
+        accounts = state.quotas.report(now_ms) if _has_sums(peer.relation) else ()
+        heartbeat = _make_heartbeat(state, peer.relation, now_ms, accounts)
+    heartbeat = dataclasses.replace(heartbeat, loads=(*heartbeat.loads, *limits))
     return core_effects.SendMessage(peer_id, heartbeat)
 
 
--- a/rhubarbspar/gateway/load_reports.py
+++ b/rhubarbspar/gateway/load_reports.py
@@ -1,4 +1,4 @@
-"""Exchange of the load that backend servers report: every report reaches the whole fleet.
+"""Exchange of the loads and rate limits that backend servers report, with the whole fleet.
 
 Pattern: dissemination of the newest value by time stamp. An instance that has not used a server for
 seconds would otherwise have to guess its load.
@@ -19,10 +19,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """Running and waiting requests of a server at a time."""
+    """What a server reported with a response.
 
-    requests: int
+    Attributes
+    ----------
+    requests
+        Running and waiting requests; ``None`` if the server does not report them.
+    limit_per_s
+        Rate limit of the server for all instances; ``None`` if it named none.
+    """
+
+    requests: int | None
     reported_ms: float
+    limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,9 +49,9 @@
     branch: dict[str, ReportedLoad] = dataclasses.field(default_factory=dict)
     elsewhere: dict[str, ReportedLoad] = dataclasses.field(default_factory=dict)
 
-    def record(self, server_id: str, requests: int, now_ms: float) -> None:
+    def record(self, server_id: str, reported: ReportedLoad) -> None:
         """Add the report of a response to this instance."""
-        self.branch[server_id] = ReportedLoad(requests, now_ms)
+        self.branch[server_id] = reported
 
     def apply(
         self,
@@ -51,14 +60,28 @@
         now_ms: float,
         *,
         is_child: bool,
-    ) -> None:
-        """Apply the reports in a heartbeat, and keep those that are news for the next one."""
+    ) -> dict[str, ReportedLoad]:
+        """Apply the loads in a heartbeat, and keep the reports that are news for the next one.
+
+        Returns
+        -------
+        dict of str to ReportedLoad
+            The reports whose rate limits are news, by server id.
+        """
         pending = self.branch if is_child else self.elsewhere
+        limit_news = {}
         for load in loads:
             view = views.get(load.server_id)
-            reported_ms = now_ms - load.age_ms
-            if view is not None and view.record_load_elsewhere(load.requests, reported_ms):
-                pending[load.server_id] = ReportedLoad(load.requests, reported_ms)
+            if view is None:
+                continue
+            reported = ReportedLoad(load.requests, now_ms - load.age_ms, load.limit_per_s)
+            if view.record_load_elsewhere(reported.requests, reported.reported_ms):
+                pending[load.server_id] = reported
+            if reported.reported_ms > view.limit_reported_ms:
+                view.limit_reported_ms = reported.reported_ms
+                pending[load.server_id] = reported
+                limit_news[load.server_id] = reported
+        return limit_news
 
     def clear(self) -> None:
         """Forget the reports once all peers have got them."""
@@ -72,7 +95,9 @@
     """Return the reports for a heartbeat, without those that are too old."""
     newest = sorted(reports.items(), key=lambda item: item[1].reported_ms, reverse=True)
     return tuple(
-        messages.ServerLoad(server_id, load.requests, round(now_ms - load.reported_ms))
+        messages.ServerLoad(
+            server_id, load.requests, round(now_ms - load.reported_ms), load.limit_per_s
+        )
         for server_id, load in newest[:REPORTS_MAX]
         if now_ms - load.reported_ms <= REPORT_AGE_MAX_MS
     )
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -63,19 +63,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLoad:
-    """Requests at a backend server, as it reported them with a response.
+    """Load and rate limit of a backend server, as it reported them with a response.
 
     Attributes
     ----------
     requests
-        Running and waiting requests.
+        Running and waiting requests; ``None`` if the server does not report them.
     age_ms
         Time since the report.
+    limit_per_s
+        Requests a second that the server takes from all instances; ``None`` if it named no limit.
     """
 
     server_id: str
-    requests: int
+    requests: int | None
     age_ms: int
+    limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -8,10 +8,12 @@
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import gossip
+from rhubarbspar.gateway import load_reports
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import rollouts
 from rhubarbspar.gateway import selection
+from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
 
@@ -83,15 +85,10 @@
     state.rollouts.record_result(
         attempt.result_key, good=version_result.good, slow=version_result.slow
     )
-    if ended.load is not None:
-        view.record_load_report(ended.load, now_ms)
-        requests = ended.load.running + ended.load.waiting
-        state.load_reports.record(view.server.server_id, requests, now_ms)
+    outputs = _record_reports(state, view, ended, now_ms)
     if ended.connect_ms is not None:
         state.network.record_connect_time(view.server.failure_domain, ended.connect_ms)
-    outputs = _record_server_result(state, attempt, ended, now_ms)
-    if ended.result in _FROM_THE_SERVER:
-        outputs.extend(_record_rate_limit(view, ended.limit_per_s))
+    outputs.extend(_record_server_result(state, attempt, ended, now_ms))
     return [core_effects.Count(const.METRIC_ATTEMPTS, ended.result.value), *outputs]
 
 
@@ -148,20 +145,26 @@
     return []
 
 
-def _record_rate_limit(
-    view: servers.ServerView, limit_per_s: float | None
+def _record_reports(
+    state: gateway_state.State,
+    view: servers.ServerView,
+    ended: events.AttemptEnded,
+    now_ms: float,
 ) -> list[core_effects.Effect]:
-    """Record the rate limit that a response names; log a change."""
-    previous_per_s = view.limit_per_s
-    if limit_per_s == previous_per_s:
-        return []
-    view.limit_per_s = limit_per_s
-    fields = (
-        ('server', view.server.server_id),
-        ('limit_per_s', limit_per_s),
-        ('previous_per_s', previous_per_s),
-    )
-    return [core_effects.Log('server_limit_changed', fields)]
+    """Record the load and the rate limit that a response reports, and tell the peers of them."""
+    requests: int | None = None
+    if ended.load is not None:
+        view.record_load_report(ended.load, now_ms)
+        requests = ended.load.running + ended.load.waiting
+    outputs: list[core_effects.Effect] = []
+    had_limit = view.limit is not None
+    if ended.result in _FROM_THE_SERVER:
+        view.limit_reported_ms = now_ms
+        outputs = server_limits.record_limit(state, view, ended.limit_per_s, now_ms)
+    if requests is not None or had_limit or view.limit is not None:
+        reported = load_reports.ReportedLoad(requests, now_ms, view.limit_per_s)
+        state.load_reports.record(view.server.server_id, reported)
+    return outputs
 
 
 def _record_success(attempt: gateway_state.Attempt, now_ms: float) -> None:
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -9,6 +9,7 @@
 from rhubarbspar.gateway import gossip
 from rhubarbspar.gateway import lifecycle
 from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_records
 from rhubarbspar.gateway import store_relay
@@ -100,6 +101,7 @@
     if paused_ms > const.PROCESS_PAUSE_MIN_MS:
         outputs.append(core_effects.Log('process_paused', (('paused_ms', round(paused_ms)),)))
         outputs.append(effects.RefreshStore())
+    server_limits.update_positions(state, now_ms)
     outputs.extend(store_records.remove_lapsed_servers(state, now_ms))
     outputs.extend(dispatch.check_deadlines(state, now_ms))
     outputs.extend(gossip.tick(state, now_ms))
--- /dev/null
+++ b/rhubarbspar/gateway/server_limits.py
@@ -0,0 +1,117 @@
+"""Rate limits that backend servers name in their responses, obeyed by all instances together.
+
+Patterns: server-driven rate limiting; dissemination of the newest value by time stamp, with the
+load reports; division among a few holders (``rate_shares``).
+"""
+
+import typing
+
+from rhubarbspar.core import effects as core_effects
+from rhubarbspar.gateway import fleet
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import rate_shares
+from rhubarbspar.gateway import servers
+from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.helpers import rendezvous
+
+# Positions in the order of the holders are updated after this time.
+UPDATE_INTERVAL_MS: typing.Final = 200
+
+
+def record_limit(
+    state: gateway_state.State,
+    view: servers.ServerView,
+    limit_per_s: float | None,
+    reported_ms: float,
+) -> list[core_effects.Effect]:
+    """Record the limit that a server has named here or at a peer; log a change.
+
+    Parameters
+    ----------
+    limit_per_s
+        Requests a second from all instances together; ``None`` if the server named no limit.
+    reported_ms
+        When the response arrived.
+    """
+    previous_per_s = view.limit_per_s
+    if limit_per_s is None:
+        view.limit = None
+    elif view.limit is None:
+        position = _position(state, view, state.fleet.present_ids(reported_ms))
+        view.limit = rate_shares.RateShare(limit_per_s, position, reported_ms)
+    else:
+        view.limit.limit_per_s = limit_per_s
+        view.limit.used_ms = max(view.limit.used_ms, reported_ms)
+    if limit_per_s == previous_per_s:
+        return []
+    fields = (
+        ('server', view.server.server_id),
+        ('limit_per_s', limit_per_s),
+        ('previous_per_s', previous_per_s),
+        ('rank', None if view.limit is None else view.limit.position.rank),
+        ('holders', None if view.limit is None else view.limit.holder_count),
+    )
+    return [core_effects.Log('server_limit_changed', fields)]
+
+
+def update_positions(state: gateway_state.State, now_ms: float) -> None:
+    """Update the position of this instance for each limited server as instances come and go."""
+    if now_ms - state.limits_updated_ms < UPDATE_INTERVAL_MS:
+        return
+    state.limits_updated_ms = now_ms
+    present_ids: frozenset[str] | None = None
+    for view in state.servers.views.values():
+        if view.limit is None:
+            continue
+        if present_ids is None:
+            present_ids = state.fleet.present_ids(now_ms)
+        view.limit.move(_position(state, view, present_ids), now_ms)
+
+
+def known_limits(state: gateway_state.State, now_ms: float) -> tuple[messages.ServerLoad, ...]:
+    """Return all known limits, for a peer that may have missed earlier reports."""
+    return tuple(
+        messages.ServerLoad(
+            view.server.server_id,
+            None,
+            round(now_ms - view.limit_reported_ms),
+            view.limit.limit_per_s,
+        )
+        for view in state.servers.views.values()
+        if view.limit is not None
+    )
+
+
+def _position(
+    state: gateway_state.State, view: servers.ServerView, present_ids: frozenset[str]
+) -> rate_shares.Position:
+    """Return the position of this instance among the present ones.
+
+    A stopping instance comes last: its callers are leaving.
+    """
+    if state.is_stopping:
+        return rate_shares.Position(len(present_ids), len(present_ids))
+    own_id = state.fleet.own_member.instance_id
+    order = _holder_order(state, view)
+    before = order[: order.index(own_id)]
+    rank = sum(instance_id in present_ids for instance_id in before)
+    return rate_shares.Position(rank, len(present_ids))
+
+
+def _holder_order(state: gateway_state.State, view: servers.ServerView) -> tuple[str, ...]:
+    """Return the instances in the order in which they hold the limit of a server; cached.
+
+    Those in the region of the server come first.
+    """
+    server_id = view.server.server_id
+    region = state.network.regions.get(view.server.failure_domain, '')
+    key = fleet.HolderOrderKey(server_id, region)
+    order = state.fleet.holder_orders.get(key)
+    if order is None:
+        peers = state.fleet.peers.values()
+        members = (state.fleet.own_member, *(peer.member for peer in peers))
+        near = [member.instance_id for member in members if member.region == region]
+        far = [member.instance_id for member in members if member.region != region]
+        order = (*rendezvous.rank(server_id, near), *rendezvous.rank(server_id, far))
+        state.fleet.holder_orders[key] = order
+    return order
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -12,6 +12,7 @@
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import overload as server_overload
+from rhubarbspar.gateway import rate_shares
 
 # A failed server is ejected for this time, doubled with each consecutive ejection.
 EJECTION_MIN_MS: typing.Final = 500
@@ -64,9 +65,10 @@
         When the next request may be sent to the cold server.
     full_load
         Load at which the server last refused a request; infinity if it never did.
-    limit_per_s
-        Requests a second that the server takes from all instances together; ``None`` if its last
-        response named no limit.
+    limit
+        Share of the rate limit that the server named in its last response; ``None`` without one.
+    limit_reported_ms
+        When the server last told this instance or a peer whether it has a limit.
     overload
         Detector of a standing queue at the server.
     """
@@ -88,7 +90,8 @@
     next_cold_request_ms: float = -math.inf
     slots: int = 1
     full_load: float = math.inf
-    limit_per_s: float | None = None
+    limit: rate_shares.RateShare | None = None
+    limit_reported_ms: float = -math.inf
     overload: server_overload.StandingQueueDetector = dataclasses.field(
         default_factory=server_overload.StandingQueueDetector
     )
@@ -107,15 +110,16 @@
         self.other_requests = max(0, load.running + load.waiting - self.running)
         self.reported_ms = now_ms
 
-    def record_load_elsewhere(self, requests: int, reported_ms: float) -> bool:
+    def record_load_elsewhere(self, requests: int | None, reported_ms: float) -> bool:
         """Record a load report to another instance; return whether it is newer than the known one.
 
         Parameters
         ----------
         requests
-            Running and waiting requests, those of this instance included.
+            Running and waiting requests, those of this instance included; ``None`` if the server
+            does not report them.
         """
-        if reported_ms <= self.reported_ms:
+        if requests is None or reported_ms <= self.reported_ms:
             return False
         self.other_requests = max(0, requests - self.running)
         self.reported_ms = reported_ms
@@ -187,9 +191,19 @@
         return now_ms < self.cold_until_ms
 
     def may_send(self, now_ms: float) -> bool:
-        """Return whether a request may be sent now; requests to a cold server are paced."""
+        """Return whether a request may be sent now.
+
+        Requests to a cold server, and to one that names a rate limit, are paced.
+        """
+        if self.limit is not None and not self.limit.may_send(now_ms):
+            return False
         return not self.is_cold(now_ms) or now_ms >= self.next_cold_request_ms
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """Return the rate limit of the server for all instances, or ``None`` without one."""
+        return None if self.limit is None else self.limit.limit_per_s
+
     def pace(self, now_ms: float, interval_ms: float) -> None:
         """Delay the next request to a cold server by an interval."""
         self.next_cold_request_ms = now_ms + interval_ms
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -151,6 +151,8 @@
         Credits of the services of each route with several targets (weighted round robin).
     is_store_follower
         Whether this instance watches the store itself.
+    limits_updated_ms
+        When the shares of the servers' rate limits were last updated.
     """
 
     decode: abc.Callable[[str, bytes, int], Record | None]
@@ -187,6 +189,7 @@
     lifecycle: Lifecycle = dataclasses.field(default_factory=Lifecycle)
     last_attempt_number: int = 0
     is_store_follower: bool = True
+    limits_updated_ms: float = -math.inf
 
     @property
     def is_stopping(self) -> bool:
--- a/tests/gateway/test_outcomes.py
+++ b/tests/gateway/test_outcomes.py
@@ -27,6 +27,7 @@
     logged = []
     for limit_per_s in (None, 4.8, 4.8, None):
         gateway.declare('servers/stock-2', None)
+        gateway.now_ms += 1000
         started = conftest.single_effect(gateway.request(), effects.StartAttempt)
         result = conftest.ended(
             started, events.AttemptResult.ANSWERED, status=200, limit_per_s=limit_per_s
