--- a/rhubarbspar/gateway/rate_shares.py
+++ b/rhubarbspar/gateway/rate_shares.py
@@ -13,7 +13,7 @@
 
 # A holder may send at least one request in this time, so a lower limit has fewer holders. The
 # requests in a period then exceed those that the limit permits by no more than one such time.
-HOLDER_INTERVAL_MS: typing.Final = 1000
+HOLDER_INTERVAL_MS: typing.Final = 1500
 # While no instance is known to use the limit, the holders may have no requests. After each such
 # time, one more instance may use it; longer than a report takes through the tree of the instances.
 IDLE_STEP_MS: typing.Final = 2000
