Divide the rate of cold servers among few holders

The rate that a cold server takes was divided into even parts among all instances; in a large fleet a part is less than one request in 17 s, and the first request of each instance came at a random time. The number in a second then varies like a Poisson variable, and now and then exceeds the permitted one.

Change: cold servers use the same shares as servers that name a limit, with few holders that pace their requests.

--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -16,8 +16,8 @@
 from rhubarbspar.gateway import placement
 from rhubarbspar.gateway import responses
 from rhubarbspar.gateway import selection
+from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import state as gateway_state
-from rhubarbspar.gateway import store_records
 
 # Servers to which one request may be sent, including those that did not run it. ``attempts_max`` of
 # a route only limits the attempts that may have run.
@@ -205,12 +205,10 @@
     pending.current_attempt = attempt
     pending.tried_server_ids.append(server.server_id)
     pending.send_count += 1
-    view.running += 1
+    if view.is_cold(now_ms) and view.cold_share is None:
+        server_limits.start_cold_share(state, view, now_ms)
+    view.record_sent(now_ms)
     state.region_shares.record(state.network.regions.get(server.failure_domain, ''), now_ms)
-    if view.limit is not None:
-        view.limit.record_sent(now_ms)
-    if view.is_cold(now_ms):
-        view.pace(now_ms, store_records.cold_interval_ms(state, server.service_id, now_ms))
     state.rollouts.record_sent(attempt.result_key, now_ms)
 
 
--- a/rhubarbspar/gateway/rate_shares.py
+++ b/rhubarbspar/gateway/rate_shares.py
@@ -58,7 +58,7 @@
 
     def __post_init__(self) -> None:
         """Stagger the first requests of the holders."""
-        offset = (self.position.rank + 1) / self.holder_count
+        offset = self.position.rank / self.holder_count
         self.next_ms = self.used_ms + self.interval_ms * min(1.0, offset)
 
     @property
--- a/rhubarbspar/gateway/server_limits.py
+++ b/rhubarbspar/gateway/server_limits.py
@@ -1,4 +1,6 @@
-"""Rate limits that backend servers name in their responses, obeyed by all instances together.
+"""Rate limits of backend servers that all instances obey together.
+
+A server names a limit in its responses, or its service declares one for cold servers.
 
 Patterns: server-driven rate limiting; dissemination of the newest value by time stamp, with the
 load reports; division among a few holders (``rate_shares``).
@@ -54,6 +56,16 @@
     return [core_effects.Log('server_limit_changed', fields)]
 
 
+def start_cold_share(state: gateway_state.State, view: servers.ServerView, now_ms: float) -> None:
+    """Begin to pace the requests to a server that has become cold."""
+    rate_per_s = _cold_rate_per_s(state, view)
+    if not rate_per_s:
+        view.cold_share = None
+        return
+    position = _position(state, view, state.fleet.present_ids(now_ms))
+    view.cold_share = rate_shares.RateShare(rate_per_s, position, now_ms)
+
+
 def update_positions(state: gateway_state.State, now_ms: float) -> None:
     """Update the position of this instance for each limited server as instances come and go."""
     if now_ms - state.limits_updated_ms < UPDATE_INTERVAL_MS:
@@ -61,11 +73,16 @@
     state.limits_updated_ms = now_ms
     present_ids: frozenset[str] | None = None
     for view in state.servers.views.values():
-        if view.limit is None:
+        cold_share = view.cold_share if view.is_cold(now_ms) else None
+        shares = [share for share in (view.limit, cold_share) if share is not None]
+        if not shares:
             continue
         if present_ids is None:
             present_ids = state.fleet.present_ids(now_ms)
-        view.limit.move(_position(state, view, present_ids), now_ms)
+        position = _position(state, view, present_ids)
+        for share in shares:
+            share.move(position, now_ms)
+            share.used_ms = max(share.used_ms, view.reported_ms)
 
 
 def known_limits(state: gateway_state.State, now_ms: float) -> tuple[messages.ServerLoad, ...]:
@@ -82,6 +99,14 @@
     )
 
 
+def _cold_rate_per_s(state: gateway_state.State, view: servers.ServerView) -> float:
+    """Return the rate that a cold server takes from all instances; 0 means no limit."""
+    configuration = state.declared.configuration
+    service_id = view.server.service_id
+    service = None if configuration is None else configuration.services.get(service_id)
+    return 0 if service is None else service.cold_rate_per_s
+
+
 def _position(
     state: gateway_state.State, view: servers.ServerView, present_ids: frozenset[str]
 ) -> rate_shares.Position:
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -6,7 +6,6 @@
 
 import dataclasses
 import math
-import random
 import typing
 
 from rhubarbspar.gateway import events
@@ -61,8 +60,9 @@
         When the server last answered an attempt.
     remove_at_ms
         When a server whose registration has lapsed is removed; infinity otherwise.
-    next_cold_request_ms
-        When the next request may be sent to the cold server.
+    cold_share
+        Share of the rate that the cold server takes from all instances; ``None`` if its service
+        declares none.
     full_load
         Load at which the server last refused a request; infinity if it never did.
     limit
@@ -87,7 +87,7 @@
     consecutive_ejections: int = 0
     last_answer_ms: float = -math.inf
     remove_at_ms: float = math.inf
-    next_cold_request_ms: float = -math.inf
+    cold_share: rate_shares.RateShare | None = None
     slots: int = 1
     full_load: float = math.inf
     limit: rate_shares.RateShare | None = None
@@ -197,24 +197,23 @@
         """
         if self.limit is not None and not self.limit.may_send(now_ms):
             return False
-        return not self.is_cold(now_ms) or now_ms >= self.next_cold_request_ms
+        if self.cold_share is None or not self.is_cold(now_ms):
+            return True
+        return self.cold_share.may_send(now_ms)
+
+    def record_sent(self, now_ms: float) -> None:
+        """Count a request to the server, also under its rate limits."""
+        self.running += 1
+        if self.limit is not None:
+            self.limit.record_sent(now_ms)
+        if self.cold_share is not None:
+            self.cold_share.record_sent(now_ms)
 
     @property
     def limit_per_s(self) -> float | None:
         """Return the rate limit of the server for all instances, or ``None`` without one."""
         return None if self.limit is None else self.limit.limit_per_s
 
-    def pace(self, now_ms: float, interval_ms: float) -> None:
-        """Delay the next request to a cold server by an interval."""
-        self.next_cold_request_ms = now_ms + interval_ms
-
-    def stagger_pace(self, now_ms: float, interval_ms: float) -> None:
-        """Delay the next request by a random part of the interval.
-
-        Otherwise all instances would send their requests to the cold server at the same time.
-        """
-        self.next_cold_request_ms = now_ms + random.uniform(0, interval_ms)  # noqa: S311
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _DeclarationVersion:
--- a/rhubarbspar/gateway/store_records.py
+++ b/rhubarbspar/gateway/store_records.py
@@ -3,16 +3,16 @@
 import dataclasses
 import typing
 
-from rhubarbspar import const as package_const
 from rhubarbspar import exceptions
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
 
-# Cold period, and interval between requests to a cold server, of a service that declares none.
+# Cold period of a service that declares none.
 _NO_COLD_PERIOD_MS: typing.Final = 0.0
 
 
@@ -128,9 +128,7 @@
     """Store a server's declaration; for a new incarnation, drop the old pooled connections."""
     outputs: list[core_effects.Effect] = []
     if state.servers.declare(server, now_ms):
-        interval_ms = cold_interval_ms(state, server.service_id, now_ms)
-        view = state.servers.views[server.server_id]
-        view.stagger_pace(now_ms, interval_ms)
+        server_limits.start_cold_share(state, state.servers.views[server.server_id], now_ms)
         outputs.append(effects.ForgetServer(server.server_id))
     log_fields = (
         ('server', server.server_id),
@@ -205,17 +203,4 @@
         service = None if configuration is None else configuration.services.get(service_id)
         cold_ms = _NO_COLD_PERIOD_MS if service is None else service.cold_ms
         view.cold_until_ms = max(view.cold_until_ms, now_ms + cold_ms)
-        view.stagger_pace(now_ms, cold_interval_ms(state, service_id, now_ms))
-
-
-def cold_interval_ms(state: gateway_state.State, service_id: str, now_ms: float) -> float:
-    """Return the least time between two requests of this instance to a cold server.
-
-    Pattern: the rate limit of the cold server is divided evenly among all known instances.
-    """
-    configuration = state.declared.configuration
-    service = None if configuration is None else configuration.services.get(service_id)
-    if service is None or service.cold_rate_per_s <= 0:
-        return _NO_COLD_PERIOD_MS
-    instance_count = 1 + len(state.fleet.peers)
-    return instance_count / service.cold_rate_per_s * package_const.MS_PER_S
+        server_limits.start_cold_share(state, view, now_ms)
