Divide the retry allowance among all registered instances

Cause: the same class of fault as with the limits of servers. The allowance of retries was divided by the number of live instances as each one sees it; instances that are cut off from each other each use that of the whole fleet.

Change: it is divided by the number of registered instances.

Result: of 20 refused requests, an instance whose seven peers are silent retried 20 before, where its part of the allowance and the ratio permit 11; the test passes now.

--- a/rhubarbspar/gateway/budget.py
+++ b/rhubarbspar/gateway/budget.py
@@ -58,7 +58,7 @@
         Parameters
         ----------
         instances
-            Live instances among which the allowance is divided.
+            Instances among which the allowance is divided.
         """
         current = self._current_interval(service_id, now_ms)
         window = self.windows[service_id]
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -275,7 +275,7 @@
     if ended.result == events.AttemptResult.UNREACHABLE:
         # Nothing was sent to a server, so the retry costs no retry budget.
         return True
-    return state.budget.try_acquire(pending.service_id, state.fleet.live_count(now_ms), now_ms)
+    return state.budget.try_acquire(pending.service_id, state.fleet.registered_count, now_ms)
 
 
 def _refuse_without_server(
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -242,22 +242,18 @@
         """Return the live peers."""
         return [peer for peer in self.peers.values() if peer.is_live(now_ms)]
 
+    @property
+    def registered_count(self) -> int:
+        """Return the number of registered instances, this one included.
+
+        A budget that all instances share is divided by it: silent instances may still spend theirs.
+        """
+        return 1 + len(self.peers)
+
     def live_count(self, now_ms: float) -> int:
         """Return the number of live instances, this one included."""
         return 1 + len(self.live_peers(now_ms))
 
-    def present_ids(self, now_ms: float) -> frozenset[str]:
-        """Return the ids of the instances that may send requests to servers, this one included.
-
-        A silent peer counts for some time: it may be cut off from this instance only.
-        """
-        present = [
-            peer_id
-            for peer_id, peer in self.peers.items()
-            if not peer.leaving and peer.is_present(now_ms)
-        ]
-        return frozenset((self.own_member.instance_id, *present))
-
     def related_peers(self, relation: Relation) -> list[str]:
         """Return the ids of the connected peers with a relation."""
         return [
--- a/rhubarbspar/gateway/server_limits.py
+++ b/rhubarbspar/gateway/server_limits.py
@@ -39,7 +39,7 @@
     if limit_per_s is None:
         view.limit = None
     elif view.limit is None:
-        position = _position(state, view, state.fleet.present_ids(reported_ms))
+        position = _position(state, view, _present_ids(state, reported_ms))
         view.limit = rate_shares.RateShare(limit_per_s, position, reported_ms)
     else:
         view.limit.limit_per_s = limit_per_s
@@ -62,7 +62,7 @@
     if not rate_per_s:
         view.cold_share = None
         return
-    position = _position(state, view, state.fleet.present_ids(now_ms))
+    position = _position(state, view, _present_ids(state, now_ms))
     view.cold_share = rate_shares.RateShare(rate_per_s, position, now_ms)
 
 
@@ -78,7 +78,7 @@
         if not shares:
             continue
         if present_ids is None:
-            present_ids = state.fleet.present_ids(now_ms)
+            present_ids = _present_ids(state, now_ms)
         position = _position(state, view, present_ids)
         for share in shares:
             share.move(position, now_ms)
@@ -107,6 +107,19 @@
     return 0 if service is None else service.cold_rate_per_s
 
 
+def _present_ids(state: gateway_state.State, now_ms: float) -> frozenset[str]:
+    """Return the ids of the instances that may send requests to servers, this one included.
+
+    A silent peer counts for some time: it may be cut off from this instance only.
+    """
+    present = [
+        peer_id
+        for peer_id, peer in state.fleet.peers.items()
+        if not peer.leaving and peer.is_present(now_ms)
+    ]
+    return frozenset((state.fleet.own_member.instance_id, *present))
+
+
 def _position(
     state: gateway_state.State, view: servers.ServerView, present_ids: frozenset[str]
 ) -> rate_shares.Position:
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -107,6 +107,24 @@
     assert refused.retry_after_ms
 
 
+def test_retry_budget_is_divided_among_silent_instances_too(gateway):
+    """Guards against cut-off instances that each use the allowance of the whole fleet."""
+    for number in range(2, 9):
+        member = models.Member(f'front-{number}', 'b', 'almaty-b', 'almaty', '', '')
+        gateway.declare(f'members/front-{number}', member)
+    gateway.advance(20_000)
+    retries = 0
+    for _ in range(20):
+        started = conftest.single_effect(gateway.request(), effects.StartAttempt)
+        not_run = conftest.ended(started, events.AttemptResult.NOT_RUN, status=503)
+        outputs = gateway.reduce(not_run)
+        for output in outputs:
+            if isinstance(output, effects.StartAttempt):
+                retries += 1
+                gateway.reduce(conftest.ended(output, events.AttemptResult.ANSWERED, status=200))
+    assert retries <= 56 / 8 + 0.2 * 20
+
+
 def test_retries_are_limited_by_the_budget(gateway):
     """Guards against retries that amplify an overload; retry budget."""
     retries = 0
