--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -62,6 +62,13 @@
         case events.StoreSnapshot(records, revision):
             outputs = store_relay.note_store_reachable(state, now_ms, revision)
             changed = state.replica.apply_snapshot(event, now_ms)
+            log_fields = (
+                ('revision', revision),
+                ('records', len(records)),
+                ('changed', len(changed)),
+                ('known_revision', state.replica.revision),
+            )
+            outputs.append(core_effects.Log('snapshot_applied', log_fields))
             return outputs + store_records.apply_records(state, changed, now_ms)
         case events.StoreChanged(records, revision):
             base_revision = state.replica.changed_revision
--- a/rhubarbspar/gateway/store_tasks.py
+++ b/rhubarbspar/gateway/store_tasks.py
@@ -160,6 +160,8 @@
         if not self._revision:
             snapshot, revision = await self._client.read_all(platform_const.PREFIX_ALL)
             self._revision = revision
+            log_fields = (('era', self._client.era), ('revision', revision))
+            self._report(core_effects.Log('store_read', (*log_fields, ('records', len(snapshot)))))
             self._deliver(events.StoreSnapshot(snapshot, revision))
         while self._following and not self._closed:
             changes, revision = await self._client.watch(
--- a/rhubarbspar/platform/const.py
+++ b/rhubarbspar/platform/const.py
@@ -11,6 +11,8 @@
 HEADER_LOAD: typing.Final = b'x-rhubarbspar-server-load'
 # Requests a second that a backend server takes from all instances together.
 HEADER_RATE_LIMIT: typing.Final = b'server-limit'
+# Rises each time the store was restored from an older copy of its records.
+HEADER_STORE_ERA: typing.Final = b'store-era'
 HEADER_NOT_RUN: typing.Final = b'x-rhubarbspar-not-executed'
 HEADER_AUTHORIZATION: typing.Final = b'authorization'
 HEADER_COOKIE: typing.Final = b'cookie'
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -51,6 +51,8 @@
         endpoint = client.Endpoint(host, port)
         self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS)
         self._calls: set[client.Call] = set()
+        # Number of times that the store was restored, by its answers; 0 if it does not tell.
+        self.era = 0
 
     async def read_all(self, prefix: str) -> tuple[tuple[events.RecordRead, ...], int]:
         """Return all records below a prefix, and the revision to watch from.
@@ -166,6 +168,7 @@
         outcome = await self._send(request, timeout_ms)
         if isinstance(outcome, http_errors.HttpError):
             raise errors.StoreError(str(outcome)) from outcome
+        self._note_era(outcome)
         if outcome.status != const.STATUS_OK:
             raise errors.StoreRejectedError(outcome.status)
         try:
@@ -173,6 +176,15 @@
         except ValueError as error:
             raise errors.StoreError('answer of the store is not JSON') from error
 
+    def _note_era(self, response: messages.Response) -> None:
+        """Note the era that an answer names."""
+        raw = messages.find_header(response.headers, const.HEADER_STORE_ERA)
+        if raw is None:
+            return
+        if not raw.isdigit():
+            raise errors.StoreError('the store names no valid era')
+        self.era = int(raw)
+
     async def _send(self, request: messages.Request, timeout_ms: float) -> client.Outcome:
         finished: defer.Deferred[client.Outcome] = defer.Deferred()
         call = client.Call(request, finished.callback)
