Reproduce changes that are dropped after a restore of the store

The stand-in of the store names its era and can be restored from a copy. With more changes after the restore than were lost, the last one is taken.

--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -53,6 +53,17 @@
         self.gateway = gateway_daemon.Daemon(str(path), settings.load(path), loop.reactor)
         self.gateway.start()
 
+    def configure(self, version, prefixes):
+        """Write a configuration with a route for each path prefix."""
+        columns = CONFIGURATION['routes']['columns']
+        rows = [
+            [f'r-{number}', 'shop.example', prefix, 'safe', '1s', 'stock']
+            for number, prefix in enumerate(prefixes)
+        ]
+        routes = {'columns': columns, 'rows': rows}
+        record = {**CONFIGURATION, 'version': f'r{version}', 'routes': routes}
+        self.store.put('op/config', json.dumps(record).encode())
+
     def declare(self, state, sequence):
         """Register the backend server in a state."""
         record = {
@@ -174,3 +185,28 @@
         assert not deployment.received
 
     deployment.loop.run(scenario())
+
+
+@pytest.mark.parametrize('changes_after', [1, 2, 4])
+def test_changes_after_a_restore_of_the_store_are_applied(deployment, changes_after):
+    """Guards against changes that are dropped because a restored store gives out revisions again.
+
+    The last change has a lower, the same or a higher revision than the last one before the restore.
+    """
+
+    async def scenario():
+        await deployment.until_ready()
+        state = deployment.gateway._state
+        await deployment.loop.until(lambda: state.replica.directly_reachable)
+        copied = deployment.store.copy()
+        for version in (2, 3):
+            deployment.configure(version, ['/stock/'])
+        await deployment.loop.until(lambda: state.declared.configuration.version == 3)
+        deployment.store.restore(copied)
+        last_version = 3 + changes_after
+        for version in range(4, last_version + 1):
+            deployment.configure(version, ['/stock/', '/added/'])
+        await deployment.loop.until(lambda: state.declared.configuration.version == last_version)
+        assert (await deployment.call('front', b'/added/1')).status == 200
+
+    deployment.loop.run(scenario())
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -1,6 +1,7 @@
 """In-memory stand-in for the platform's key-value store, for the tests of the adapter."""
 
 import base64
+import copy
 import dataclasses
 import json
 from urllib import parse as urls
@@ -31,6 +32,8 @@
         Status of every answer, without carrying out the request; ``None`` for normal operation.
     lose_answers
         Calls other than watches are carried out but not answered.
+    era
+        Named in all answers; rises with each restore.
     """
 
     def __init__(self, reactor):
@@ -39,6 +42,7 @@
         self.silent = False
         self.status = None
         self.lose_answers = False
+        self.era = 1
         self._reactor = reactor
         self._watches = []
         limits = server.Limits(16_384, 1_048_576, 3000, 15_000)
@@ -61,6 +65,18 @@
         """Delete a record, which leaves a tombstone for watches."""
         self._write([store_model.Delete((key.encode(), b''))])
 
+    def copy(self):
+        """Return a copy of all records and leases, for a later restore."""
+        return copy.deepcopy(self.database)
+
+    def restore(self, database):
+        """Replace all records and leases by a copy; waiting watches are cut."""
+        self.database = copy.deepcopy(database)
+        self.era += 1
+        self._watches = []
+        for channel in tuple(self._site.channels):
+            channel.transport.abortConnection()
+
     def _write(self, operations):
         self.database.write(operations, self._reactor.seconds())
         waiting = self._watches
@@ -72,7 +88,7 @@
         if self.silent:
             return
         if self.status is not None:
-            exchange.respond(messages.Response(self.status))
+            self._respond(exchange, messages.Response(self.status))
             return
         parts = urls.urlsplit(exchange.request.target.decode())
         query = {name: found[0] for name, found in urls.parse_qs(parts.query).items()}
@@ -82,7 +98,7 @@
             return
         answer = self._call(parts.path, query, body)
         if not self.lose_answers:
-            exchange.respond(answer)
+            self._respond(exchange, answer)
 
     def _call(self, path, query, body):
         now_s = self._reactor.seconds()
@@ -131,16 +147,22 @@
         return self._json({'revision': self.database.revision})
 
     def _answer_watch(self, watch):
-        if watch.after < self.database.compacted_revision:
-            watch.exchange.respond(_status(410))
+        is_unknown = watch.after > self.database.revision
+        if is_unknown or watch.after < self.database.compacted_revision:
+            self._respond(watch.exchange, _status(410))
             return
         changes = self.database.changes_since(watch.after + 1, EVERYTHING)
         if changes:
             events = [self._item(record) for record in changes]
-            watch.exchange.respond(self._json({'events': events}))
+            self._respond(watch.exchange, self._json({'events': events}))
         else:
             self._watches.append(watch)
 
+    def _respond(self, exchange, response):
+        era = (b'store-era', b'%d' % self.era)
+        headers = (*response.headers, era)
+        exchange.respond(messages.Response(response.status, headers, response.body))
+
     def _item(self, record):
         if not record.version:
             return {
