Order the changes of a restored store after those before it

What callers saw: after the store was restored from a copy, a configuration that it had acknowledged was not in force; added routes answered 404.

Cause: the store gives out revisions again after a restore. Class of fault: a counter that is compared after it was reset. Records of the restored store had revisions up to the known one and were dropped as older; the watch went on from a revision that the store did not have, or from the same number of another change.

Change: a revision has the era of the store in its high bits (the adapter combines and splits them), so that every place that compares, keeps or sends one orders the eras. A watch from an earlier era, a list whose pages have two eras and an answer older than a restore are errors that lead to a new read; a write that expects a revision of an earlier era is a conflict. The first watch after a failure waits 100 ms only, so that a restore is noticed even if the store has reached the known number again.

--- a/rhubarbspar/gateway/store_tasks.py
+++ b/rhubarbspar/gateway/store_tasks.py
@@ -19,6 +19,8 @@
 
 # A watch without changes ends after this time, so that a dead connection is detected.
 WATCH_WAIT_MS: typing.Final = 1500
+# The first watch after a failure shows soon whether the store was restored meanwhile.
+FIRST_WATCH_WAIT_MS: typing.Final = 100
 RETRY_MIN_S: typing.Final = 0.15
 RETRY_JITTER_S: typing.Final = 0.2
 # Delay after a change, so that the next watch returns several changes at once: backend servers write
@@ -163,10 +165,12 @@
             log_fields = (('era', self._client.era), ('revision', revision))
             self._report(core_effects.Log('store_read', (*log_fields, ('records', len(snapshot)))))
             self._deliver(events.StoreSnapshot(snapshot, revision))
+        wait_ms = FIRST_WATCH_WAIT_MS
         while self._following and not self._closed:
             changes, revision = await self._client.watch(
-                platform_const.PREFIX_ALL, self._revision, WATCH_WAIT_MS
+                platform_const.PREFIX_ALL, self._revision, wait_ms
             )
+            wait_ms = WATCH_WAIT_MS
             self._revision = max(self._revision, revision)
             self._deliver(events.StoreChanged(changes, self._revision))
             if changes:
--- a/rhubarbspar/platform/errors.py
+++ b/rhubarbspar/platform/errors.py
@@ -32,3 +32,7 @@
 
 class CompactedError(StoreError):
     """The store has compacted changes after the requested revision; a new read is required."""
+
+
+class RestoredError(CompactedError):
+    """The store was restored from an older copy, so that the requested revision is not its own."""
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's key-value store."""
 
 import base64
+import dataclasses
 import json
 import typing
 from collections import abc
@@ -10,6 +11,7 @@
 
 from rhubarbspar import const as package_const
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import revisions
 from rhubarbspar.helpers import addresses
 from rhubarbspar.helpers import durations
 from rhubarbspar.http1 import client
@@ -24,8 +26,23 @@
 CONNECT_TIMEOUT_MS: typing.Final = 600
 IDLE_MAX_MS: typing.Final = 20_000
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """The decoded body of an answer, and the era of the store that gave it."""
+
+    document: typing.Any
+    era: int
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the store at the answer."""
+        return revisions.combine(self.era, self.document['at'])
+
+
 # Value of the query parameter that permits a stale answer.
 _STALE_ALLOWED: typing.Final = '1'
+_NO_DOCUMENT: typing.Final = b'null'
 
 
 class Store:
@@ -67,9 +84,11 @@
             query = {'pathPrefix': prefix, 'after': after} if after else {'pathPrefix': prefix}
             answer = await self._exchange(b'GET', '/kv-range', query)
             # Records may change between pages; the watch must start at the first page's revision.
-            first_revision = answer['at'] if first_revision is None else first_revision
-            records.extend(_decode_record(row) for row in answer['items'])
-            if not answer.get('hasMore') or not records:
+            first_revision = answer.revision if first_revision is None else first_revision
+            if answer.era != revisions.era_of(first_revision):
+                raise errors.RestoredError('the store was restored between two pages')
+            records.extend(_decode_record(row, answer.era) for row in answer.document['items'])
+            if not answer.document.get('hasMore') or not records:
                 return tuple(records), first_revision
             after = records[-1].key
 
@@ -83,9 +102,10 @@
         Raises
         ------
         errors.CompactedError
-            If the store has compacted these changes.
+            If the store has compacted these changes, or was restored since the revision.
         """
-        query = {'pathPrefix': prefix, 'after': str(after), 'waitMs': str(wait_ms)}
+        number = revisions.number_in_era(after)
+        query = {'pathPrefix': prefix, 'after': str(number), 'waitMs': str(wait_ms)}
         timeout_ms = wait_ms + CALL_TIMEOUT_MS / 2
         try:
             answer = await self._exchange(b'GET', '/kv-watch', query, timeout_ms=timeout_ms)
@@ -93,17 +113,21 @@
             if error.status == const.STATUS_COMPACTED:
                 raise errors.CompactedError(str(error)) from error
             raise
-        return tuple(_decode_record(row) for row in answer['events']), answer['at']
+        if answer.era != revisions.era_of(after):
+            raise errors.RestoredError('the store was restored since the last change')
+        changes = tuple(_decode_record(row, answer.era) for row in answer.document['events'])
+        return changes, answer.revision
 
     async def read(self, key: str, *, allow_stale: bool = False) -> events.RecordRead | None:
         """Return one record, or ``None`` if its key does not exist."""
         query = {'key': key, 'allowStale': _STALE_ALLOWED} if allow_stale else {'key': key}
         try:
-            return _decode_record(await self._exchange(b'GET', '/kv-key', query))
+            answer = await self._exchange(b'GET', '/kv-key', query)
         except errors.StoreRejectedError as error:
             if error.status == const.STATUS_NOT_FOUND:
                 return None
             raise
+        return _decode_record(answer.document, answer.era)
 
     async def put_if(self, key: str, content: bytes, revision: int | None, lease: int = 0) -> bool:
         """Write a record if its key has the given revision; return whether it was written.
@@ -116,7 +140,12 @@
             Lease with whose end the record is deleted, 0 for none.
         """
         put = {'key': key, 'value': base64.b64encode(content).decode(), 'lease': lease}
-        conditions = [] if revision is None else [{'key': key, 'revision': revision}]
+        if revision and revisions.era_of(revision) != self.era:
+            # Numbers of an earlier era may have been given out again.
+            return False
+        conditions = []
+        if revision is not None:
+            conditions.append({'key': key, 'revision': revisions.number_in_era(revision)})
         body = {'expectedRevision': conditions, 'puts': [put], 'deleteKeys': []}
         try:
             await self._exchange(b'POST', '/kv-txn', {}, body)
@@ -130,7 +159,7 @@
         """Create a lease and return its id."""
         body = {'ttl_time': durations.format_ms(ttl_ms)}
         answer = await self._exchange(b'POST', '/kv-lease', {}, body)
-        lease: int = answer['lease']
+        lease: int = answer.document['lease']
         return lease
 
     async def renew_lease(self, lease: int) -> bool:
@@ -160,7 +189,7 @@
         query: dict[str, str],
         body: typing.Any = None,
         timeout_ms: float = CALL_TIMEOUT_MS,
-    ) -> typing.Any:
+    ) -> _Answer:
         target = '?'.join((path, urls.urlencode(query))) if query else path
         content = b'' if body is None else json.dumps(body).encode()
         headers = ((b'host', self._host), (b'content-type', b'application/json'))
@@ -168,22 +197,24 @@
         outcome = await self._send(request, timeout_ms)
         if isinstance(outcome, http_errors.HttpError):
             raise errors.StoreError(str(outcome)) from outcome
-        self._note_era(outcome)
+        era = self._check_era(outcome)
         if outcome.status != const.STATUS_OK:
             raise errors.StoreRejectedError(outcome.status)
         try:
-            return json.loads(outcome.body) if outcome.body else None
+            return _Answer(json.loads(outcome.body or _NO_DOCUMENT), era)
         except ValueError as error:
             raise errors.StoreError('answer of the store is not JSON') from error
 
-    def _note_era(self, response: messages.Response) -> None:
-        """Note the era that an answer names."""
-        raw = messages.find_header(response.headers, const.HEADER_STORE_ERA)
-        if raw is None:
-            return
+    def _check_era(self, response: messages.Response) -> int:
+        """Return the era that an answer names, 0 if it names none."""
+        raw = messages.find_header(response.headers, const.HEADER_STORE_ERA) or b'0'
         if not raw.isdigit():
             raise errors.StoreError('the store names no valid era')
-        self.era = int(raw)
+        era = int(raw)
+        if era < self.era:
+            raise errors.StoreError('the answer is older than the restore of the store')
+        self.era = era
+        return era
 
     async def _send(self, request: messages.Request, timeout_ms: float) -> client.Outcome:
         finished: defer.Deferred[client.Outcome] = defer.Deferred()
@@ -205,7 +236,8 @@
         call.abort(http_errors.BrokenError('store did not answer in time'))
 
 
-def _decode_record(row: dict[str, typing.Any]) -> events.RecordRead:
+def _decode_record(row: dict[str, typing.Any], era: int) -> events.RecordRead:
+    revision = revisions.combine(era, row['revision'])
     if row.get('tombstone'):
-        return events.RecordRead(row['key'], row['revision'], None)
-    return events.RecordRead(row['key'], row['revision'], base64.b64decode(row['value']))
+        return events.RecordRead(row['key'], revision, None)
+    return events.RecordRead(row['key'], revision, base64.b64decode(row['value']))
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -94,7 +94,9 @@
         query = {name: found[0] for name, found in urls.parse_qs(parts.query).items()}
         body = json.loads(exchange.request.body or b'null')
         if parts.path == '/kv-watch':
-            self._answer_watch(_Watch(exchange, int(query['after'])))
+            watch = _Watch(exchange, int(query['after']))
+            self._answer_watch(watch)
+            self._reactor.callLater(int(query['waitMs']) / 1000, self._end_watch, watch)
             return
         answer = self._call(parts.path, query, body)
         if not self.lose_answers:
@@ -158,6 +160,11 @@
         else:
             self._watches.append(watch)
 
+    def _end_watch(self, watch):
+        if watch in self._watches:
+            self._watches.remove(watch)
+            self._respond(watch.exchange, self._json({'events': []}))
+
     def _respond(self, exchange, response):
         era = (b'store-era', b'%d' % self.era)
         headers = (*response.headers, era)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from rhubarbspar.gateway import revisions
 from rhubarbspar.platform import errors
 from rhubarbspar.platform import store
 
@@ -14,7 +15,7 @@
     async def scenario():
         records, revision = await kv_client.read_all('')
         assert [record.content for record in records] == [b'%d' % number for number in range(8)]
-        assert revision == kv_store.database.revision
+        assert revision == revisions.combine(kv_store.era, kv_store.database.revision)
 
     loop.run(scenario())
 
@@ -25,9 +26,9 @@
     async def scenario():
         kv_store.put('a', b'1')
         kv_store.delete('a')
-        changes, revision = await kv_client.watch('', 1, 1000)
+        changes, revision = await kv_client.watch('', revisions.combine(kv_store.era, 1), 1000)
         assert [change.content for change in changes] == [b'1', None]
-        assert revision == kv_store.database.revision
+        assert revision == revisions.combine(kv_store.era, kv_store.database.revision)
 
     loop.run(scenario())
 
@@ -101,6 +102,47 @@
     async def scenario():
         loop.reactor.callLater(0.05, kv_client.reset)
         with pytest.raises(errors.StoreError):
-            await kv_client.watch('', kv_store.database.revision, 20_000)
+            revision = revisions.combine(kv_store.era, kv_store.database.revision)
+            await kv_client.watch('', revision, 20_000)
+
+    loop.run(scenario())
+
+
+def test_watch_from_a_revision_before_a_restore_raises(loop, kv_store, kv_client):
+    """Guards against a watch that misses the changes that got the numbers of lost ones."""
+    copied = kv_store.copy()
+
+    async def scenario():
+        kv_store.put('a', b'1')
+        _, revision = await kv_client.read_all('')
+        kv_store.restore(copied)
+        kv_store.put('b', b'1')
+        kv_store.put('c', b'1')
+        with pytest.raises(errors.StoreError):
+            # The connection was cut by the restore.
+            await kv_client.watch('', revision, 1000)
+        with pytest.raises(errors.RestoredError):
+            await kv_client.watch('', revision, 1000)
+        records, restored_revision = await kv_client.read_all('')
+        assert [record.key for record in records] == ['b', 'c']
+        assert restored_revision > revision
+
+    loop.run(scenario())
+
+
+def test_write_expecting_a_revision_before_a_restore_is_a_conflict(loop, kv_store, kv_client):
+    """Guards against overwriting a record whose revision equals that of a lost one."""
+    copied = kv_store.copy()
+
+    async def scenario():
+        kv_store.put('a', b'1')
+        revision = (await kv_client.read('a')).revision
+        kv_store.restore(copied)
+        kv_store.put('a', b'2')
+        with pytest.raises(errors.StoreError):
+            await kv_client.read('a')
+        await kv_client.read('a')
+        assert not await kv_client.put_if('a', b'3', revision)
+        assert (await kv_client.read('a')).content == b'2'
 
     loop.run(scenario())
