Keep what a restored store lacks until it is written again

Cause: records that the copy of the store lacks were taken for deleted as soon as an instance had read the copy. An evacuation ended, and live backend servers were dropped, until operators and servers wrote them again.

Change: such records stay in force for 2.2 s after the restore, and are removed then if they were not written again. The first write of a server's registration in an era is relayed even if nothing else changed, so that instances that do not watch the store keep it as well.

--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -73,7 +73,7 @@
         case events.StoreChanged(records, revision):
             base_revision = state.replica.changed_revision
             outputs = store_relay.note_store_reachable(state, now_ms, revision)
-            changed = state.replica.apply_changes(records, revision)
+            changed = state.replica.apply_changes(records, revision, now_ms)
             applied = store_records.apply_records(state, changed, now_ms)
             return [*outputs, *store_relay.relay_changes(state, base_revision, now_ms), *applied]
         case events.StoreLost(reason):
@@ -109,6 +109,8 @@
         outputs.append(core_effects.Log('process_paused', (('paused_ms', round(paused_ms)),)))
         outputs.append(effects.RefreshStore())
     server_limits.update_positions(state, now_ms)
+    lost = state.replica.remove_lost_records(now_ms)
+    outputs.extend(store_records.apply_records(state, lost, now_ms))
     outputs.extend(store_records.remove_lapsed_servers(state, now_ms))
     outputs.extend(dispatch.check_deadlines(state, now_ms))
     outputs.extend(gossip.tick(state, now_ms))
--- a/rhubarbspar/gateway/store_relay.py
+++ b/rhubarbspar/gateway/store_relay.py
@@ -63,7 +63,7 @@
         events.RecordRead(record.key, record.revision, record.content) for record in relayed.records
     )
     log_fields = (('peer', peer_id), ('revision', relayed.revision), ('records', len(records)))
-    changed = replica.apply_changes(records, relayed.revision)
+    changed = replica.apply_changes(records, relayed.revision, now_ms)
     applied = store_records.apply_records(state, changed, now_ms)
     passed_on = _pass_on(state, base_revision, peer_id, now_ms)
     return [core_effects.Log('news_relayed', log_fields), *passed_on, *applied]
--- a/rhubarbspar/gateway/store_replica.py
+++ b/rhubarbspar/gateway/store_replica.py
@@ -4,10 +4,12 @@
 """
 
 import dataclasses
+import math
 import operator
 import typing
 
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import revisions
 
 # Deleted keys are kept as tombstones, up to this number, to relay the deletion to peers without
 # contact to the store.
@@ -15,6 +17,9 @@
 
 # Registrations whose leases lapsed in a store outage are renewed within this time after it ends.
 REGISTRATION_GRACE_MS: typing.Final = 2000
+# After a restore of the store, records that the copy lacks are kept for this long: operators and
+# backend servers write them again within about 2 s.
+RESTORE_GRACE_MS: typing.Final = 2200
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,6 +42,9 @@
         Revision of the last such change of the records that were written again without one.
     registration_grace_until_ms
         Until then a deleted registration may only have lapsed in a store outage and be renewed.
+    lost_removed_ms
+        When the records that were not written again after a restore are removed; infinity if there
+        was none lately.
     """
 
     revision: int = 0
@@ -45,30 +53,45 @@
     directly_reachable: bool = False
     last_contact_ms: float = float('-inf')
     registration_grace_until_ms: float = float('-inf')
+    lost_removed_ms: float = math.inf
     records: dict[str, events.RecordRead] = dataclasses.field(default_factory=dict)
     refreshed: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def apply_snapshot(
         self, snapshot: events.StoreSnapshot, now_ms: float
     ) -> tuple[events.RecordRead, ...]:
-        """Replace all records by a snapshot; return what changed, tombstones included."""
+        """Replace all records by a snapshot; return what changed, tombstones included.
+
+        Records of an earlier era that the snapshot lacks are kept until ``lost_removed_ms``.
+        """
+        self.mark_reachable(snapshot.revision, now_ms, now_ms)
         current = {record.key: record for record in snapshot.records}
         deleted = [
-            events.RecordRead(key, snapshot.revision, None)
-            for key, known in self.records.items()
-            if known.content is not None and key not in current
+            events.RecordRead(known.key, snapshot.revision, None)
+            for known in self._existing()
+            if known.key not in current and not self._may_be_written_again(known)
         ]
-        changed = self._merge((*snapshot.records, *deleted))
-        self.mark_reachable(snapshot.revision, now_ms, now_ms)
-        return changed
+        return self._merge((*snapshot.records, *deleted))
 
     def apply_changes(
-        self, records: tuple[events.RecordRead, ...], revision: int
+        self, records: tuple[events.RecordRead, ...], revision: int, now_ms: float
     ) -> tuple[events.RecordRead, ...]:
         """Merge changes; return those that are newer than the known records."""
-        changed = self._merge(records)
-        self.revision = max(self.revision, revision)
-        return changed
+        self._advance(revision, now_ms)
+        return self._merge(records)
+
+    def remove_lost_records(self, now_ms: float) -> tuple[events.RecordRead, ...]:
+        """Remove the records that were not written again after a restore; return the tombstones."""
+        if now_ms < self.lost_removed_ms:
+            return ()
+        self.lost_removed_ms = math.inf
+        era = revisions.era_of(self.revision)
+        lost = [
+            events.RecordRead(known.key, self.revision, None)
+            for known in self._existing()
+            if revisions.era_of(known.revision) < era
+        ]
+        return self._merge(tuple(lost))
 
     def mark_reachable(self, revision: int, now_ms: float, reachable_since_ms: float) -> None:
         """Note that the store answered at a revision; after an outage, start the grace period.
@@ -82,7 +105,7 @@
             self.registration_grace_until_ms = reachable_since_ms + REGISTRATION_GRACE_MS
         self.reachable = True
         self.last_contact_ms = now_ms
-        self.revision = max(self.revision, revision)
+        self._advance(revision, now_ms)
 
     def mark_unreachable(self) -> None:
         """Note that a call to the store failed."""
@@ -107,15 +130,35 @@
     def note_refresh(self, record: events.RecordRead) -> None:
         """Note that a record was written again without a change.
 
-        Its last change is at most as new as the last change of all records.
+        Its last change is at most as new as the last change of all records. The first time in an
+        era counts as a change: it shows that the record was not lost in the restore.
         """
-        self.refreshed.setdefault(record.key, self.changed_revision)
+        last_changed = self.refreshed.get(record.key, self.changed_revision)
+        if revisions.era_of(last_changed) < revisions.era_of(record.revision):
+            self.note_change(record)
+        else:
+            self.refreshed.setdefault(record.key, last_changed)
 
     def revision_of(self, key: str) -> int:
         """Return the revision of a key's last change, or 0 if the key does not exist."""
         record = self.records.get(key)
         return 0 if record is None or record.content is None else record.revision
 
+    def _advance(self, revision: int, now_ms: float) -> None:
+        """Note that the store has reached a revision; a new era means that it was restored."""
+        if self.revision and revisions.era_of(revision) > revisions.era_of(self.revision):
+            self.lost_removed_ms = now_ms + RESTORE_GRACE_MS
+        self.revision = max(self.revision, revision)
+
+    def _existing(self) -> list[events.RecordRead]:
+        """Return the records without the tombstones."""
+        return [record for record in self.records.values() if record.content is not None]
+
+    def _may_be_written_again(self, record: events.RecordRead) -> bool:
+        """Return whether a record that the store lacks may only be lost in a restore."""
+        is_earlier = revisions.era_of(record.revision) < revisions.era_of(self.revision)
+        return is_earlier and self.lost_removed_ms < math.inf
+
     def _merge(self, records: tuple[events.RecordRead, ...]) -> tuple[events.RecordRead, ...]:
         """Store the records that are newer than the known ones; return them by revision."""
         changed = []
--- /dev/null
+++ b/tests/gateway/test_store_restore.py
@@ -0,0 +1,79 @@
+"""Restores of the store from an older copy, and what they must not undo."""
+
+import pytest
+
+from rhubarbspar.gateway import effects
+from rhubarbspar.gateway import events
+from rhubarbspar.gateway import models
+from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway import store_replica
+from tests.gateway import conftest
+
+
+def restore(gateway, lost_keys=()):
+    """Let the gateway read a store that was restored from a copy without some keys."""
+    era = revisions.era_of(gateway.state.replica.revision) + 1
+    copied = tuple(
+        events.RecordRead(
+            record.key,
+            revisions.combine(era, revisions.number_in_era(record.revision)),
+            record.content,
+        )
+        for record in gateway.state.replica.records.values()
+        if record.content is not None and record.key not in lost_keys
+    )
+    gateway.revision = revisions.combine(era, 1000)
+    return gateway.reduce(events.StoreSnapshot(copied, gateway.revision))
+
+
+def is_served(gateway, path):
+    """Return whether a request is sent to a server."""
+    return any(isinstance(out, effects.StartAttempt) for out in gateway.request(path))
+
+
+def test_evacuation_that_the_copy_lacks_stays_until_it_is_written_again(gateway):
+    """Guards against requests to an evacuated domain while the operators write their orders again."""
+    gateway.declare('servers/stock-2', None)
+    gateway.declare('evacuate/almaty-a', models.Evacuation('almaty-a'))
+    restore(gateway, {'evacuate/almaty-a'})
+    assert not is_served(gateway, '/stock/1')
+    gateway.advance(1000)
+    gateway.declare('evacuate/almaty-a', models.Evacuation('almaty-a'))
+    gateway.advance(store_replica.RESTORE_GRACE_MS * 2)
+    assert not is_served(gateway, '/stock/1')
+
+
+def test_record_that_is_not_written_again_is_removed(gateway):
+    """Guards against an evacuation that lasts forever because its end was lost."""
+    gateway.declare('servers/stock-2', None)
+    gateway.declare('evacuate/almaty-a', models.Evacuation('almaty-a'))
+    restore(gateway, {'evacuate/almaty-a'})
+    gateway.advance(store_replica.RESTORE_GRACE_MS + 100)
+    gateway.advance(20_000)
+    assert is_served(gateway, '/stock/1')
+
+
+@pytest.mark.parametrize('written_again', [True, False])
+def test_server_that_the_copy_lacks_is_used_for_a_short_time(gateway, written_again):
+    """Guards against a fleet without servers while they register again, and against gone ones."""
+    gateway.declare('servers/stock-2', None)
+    restore(gateway, {'servers/stock-1'})
+    assert is_served(gateway, '/stock/1')
+    gateway.advance(1000)
+    if written_again:
+        gateway.add_server('stock-1', sequence=2)
+    gateway.advance(store_replica.RESTORE_GRACE_MS)
+    assert is_served(gateway, '/stock/1') == written_again
+
+
+def test_configuration_of_an_older_copy_is_not_put_in_force(gateway):
+    """Guards against a return to an older configuration until the newest is written again."""
+    gateway.configure(conftest.READS, conftest.ORDERS, version=7)
+    record = gateway.state.replica.records['config']
+    era = revisions.era_of(gateway.state.replica.revision) + 1
+    older = models.make_configuration(3, [conftest.ORDERS], [models.Service('orders', 0, 0)], [])
+    gateway.records[b'older'] = older
+    content = events.RecordRead('config', revisions.combine(era, 3), b'older')
+    gateway.reduce(events.StoreSnapshot((content,), revisions.combine(era, 3)))
+    assert record.content != b'older'
+    assert gateway.state.declared.configuration.version == 7
