Test a restore of the store in fleets of 6 and 27 instances

Instances that do not watch the store take the changes after a restore from their peers, keep what was written again and drop what was not.

--- a/tests/gateway/fleet_network.py
+++ b/tests/gateway/fleet_network.py
@@ -11,6 +11,7 @@
 from rhubarbspar.gateway import fleet as gateway_fleet
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import revisions
 from tests.gateway import conftest
 
 TICK_MS = 50
@@ -110,6 +111,23 @@
             if instance.following and instance_id not in self.turned_away:
                 self._later(instance_id, change)
 
+    def restore(self, lost_keys):
+        """Restore the store from a copy without some keys; its revisions begin again below."""
+        era = revisions.era_of(self.store_revision) + 1
+        self.store_revision = revisions.combine(era, 1)
+        self.records = {
+            key: (self.store_revision, content)
+            for key, (_, content) in self.records.items()
+            if key not in lost_keys
+        }
+        snapshot = tuple(
+            events.RecordRead(key, revision, content)
+            for key, (revision, content) in self.records.items()
+        )
+        for instance_id, instance in self.instances.items():
+            if instance.following and instance_id not in self.turned_away:
+                self._later(instance_id, events.StoreSnapshot(snapshot, self.store_revision))
+
     def turn_away(self, instance_ids):
         """Let the store refuse the calls of some instances, and serve all others."""
         served_again = self.turned_away - set(instance_ids)
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -8,6 +8,7 @@
 from rhubarbspar.gateway import revisions
 from rhubarbspar.gateway import store_replica
 from tests.gateway import conftest
+from tests.gateway import fleet_network
 
 
 def restore(gateway, lost_keys=()):
@@ -77,3 +78,23 @@
     gateway.reduce(events.StoreSnapshot((content,), revisions.combine(era, 3)))
     assert record.content != b'older'
     assert gateway.state.declared.configuration.version == 7
+
+
+@pytest.mark.parametrize('size', [2, 9])
+def test_instances_that_do_not_watch_the_store_follow_a_restore(size):
+    """Guards against instances that keep lost records, or drop those that were kept."""
+    network = fleet_network.FleetNetwork({'a-1': 'a', 'a-2': 'a', 'b-1': 'b'}, size)
+    services = [models.Service('stock', 3000, 7)]
+    for number in (1, 2, 3):
+        network.write(f'servers/stock-{number}', conftest.make_server(f'stock-{number}'))
+    network.write('config', models.make_configuration(5, [conftest.READS], services, []))
+    network.run(3000)
+    network.restore({'servers/stock-2', 'servers/stock-3', 'config'})
+    network.write('servers/stock-3', conftest.make_server('stock-3'))
+    network.write('config', models.make_configuration(6, [conftest.READS], services, []))
+    network.run(2500)
+    states = [instance.state for instance in network.instances.values()]
+    assert {state.declared.configuration.version for state in states} == {6}
+    network.run(3000)
+    assert {tuple(sorted(state.servers.views)) for state in states} == {('stock-1', 'stock-3')}
+    assert {len(state.fleet.peers) for state in states} == {3 * size - 1}
