Register again after a restore of the store

Cause: a restored store lacks leases and records that were written since the copy. An instance noticed the loss of its registration only at the next renewal, up to 40 s later, and never that of the key of the fleet; instances that start meanwhile do not find the others, or make another key. The id of a lost lease may be given to another instance.

Change: when the era rises, every instance registers with a new lease within about a second, and writes the key of the fleet if it is missing. A lease of an earlier era is neither renewed nor ended.

--- a/rhubarbspar/gateway/store_tasks.py
+++ b/rhubarbspar/gateway/store_tasks.py
@@ -12,6 +12,7 @@
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import revisions
 from rhubarbspar.platform import const as platform_const
 from rhubarbspar.platform import errors
 from rhubarbspar.platform import records
@@ -29,6 +30,8 @@
 # The registration only serves the first contact of instances; heartbeats show whether one is live.
 LEASE_TTL_MS: typing.Final = 120_000
 RENEW_INTERVAL_S: typing.Final = 40.0
+# A restore of the store, which may have lost the registration, is noticed within this time.
+RESTORE_CHECK_S: typing.Final = 1.0
 _FLEET_KEY_BYTES: typing.Final = 32
 
 
@@ -64,6 +67,10 @@
         self._deliver = deliver
         self._report = report
         self._lease = 0
+        self._fleet_key = b''
+        # Era of the store as far as it is known, and the one in which this instance registered.
+        self._era = 0
+        self._registered_era = 0
         self._deregistered = False
         self._revision = 0
         self._following = True
@@ -77,10 +84,12 @@
         """
         while not self._closed:
             try:
-                return await self._read_fleet_key()
+                self._fleet_key = await self._read_fleet_key()
             except errors.StoreError as error:
                 self._report_failure('fleet_key', error)
                 await self._wait_before_retry()
+            else:
+                return self._fleet_key
         return b''
 
     async def watch_records(self) -> None:
@@ -106,12 +115,13 @@
                 self._report_failure('register', error)
                 await self._wait_before_retry()
             else:
-                await self._sleep(RENEW_INTERVAL_S)
+                await self._wait_before_renewal()
 
     async def deregister(self) -> None:
         """Delete the registration by ending its lease."""
         self._deregistered = True
-        if not self._lease:
+        if not self._lease or self._registered_era != self._known_era():
+            # A restored store may have given the lease's id to another instance.
             return
         try:
             await self._client.revoke_lease(self._lease)
@@ -134,6 +144,7 @@
     def advance_to(self, revision: int) -> None:
         """Continue the watch after a revision that is known from peers."""
         self._revision = max(self._revision, revision)
+        self._era = max(self._era, revisions.era_of(revision))
 
     def switch_following(self, *, following: bool) -> None:
         """Start to watch the store, or stop once the present call has ended."""
@@ -177,14 +188,36 @@
                 await self._sleep(COALESCE_DELAY_S)
 
     async def _renew_registration(self) -> None:
-        """Renew the lease; after its end, register again with a new lease."""
-        if self._lease and await self._client.renew_lease(self._lease):
-            return
+        """Renew the lease; after its end or a restore of the store, register with a new lease."""
+        era = self._known_era()
+        if self._lease and self._registered_era == era:
+            is_renewed = await self._client.renew_lease(self._lease)
+            if is_renewed and self._known_era() == era:
+                return
+        await self._register()
+
+    async def _register(self) -> None:
+        """Write the registration with a new lease, and the key of the fleet if it is missing."""
         lease = await self._client.grant_lease(LEASE_TTL_MS)
+        era = self._known_era()
         key = records.member_key(self._member.instance_id)
         await self._client.put_if(key, records.encode_member(self._member), None, lease)
+        if self._fleet_key:
+            await self._client.put_if(platform_const.KEY_FLEET, self._fleet_key, 0)
         self._lease = lease
-        self._report(core_effects.Log('registered', (('lease', lease),)))
+        self._registered_era = era
+        self._report(core_effects.Log('registered', (('lease', lease), ('era', era))))
+
+    async def _wait_before_renewal(self) -> None:
+        """Wait until the lease has to be renewed, or the store was restored."""
+        waited_s = 0.0
+        while waited_s < RENEW_INTERVAL_S and self._registered_era == self._known_era():
+            await self._sleep(RESTORE_CHECK_S)
+            waited_s += RESTORE_CHECK_S
+
+    def _known_era(self) -> int:
+        """Return the newest era that the store or a peer has named."""
+        return max(self._era, self._client.era)
 
     async def _read_fleet_key(self) -> bytes:
         record = await self._client.read(platform_const.KEY_FLEET, allow_stale=True)
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -50,6 +50,7 @@
         self.addresses = {name: free_address() for name in ('front', 'ready', 'directory', 'own')}
         path = tmp_path / 'settings.jsonc'
         path.write_text(self._settings(test_settings.TEMPLATE))
+        self.initial_records = self.store.copy()
         self.gateway = gateway_daemon.Daemon(str(path), settings.load(path), loop.reactor)
         self.gateway.start()
 
@@ -210,3 +211,22 @@
         assert (await deployment.call('front', b'/added/1')).status == 200
 
     deployment.loop.run(scenario())
+
+
+def test_instance_registers_again_after_a_restore_of_the_store(deployment):
+    """Guards against an instance, or the key of the fleet, that new instances do not find."""
+
+    async def scenario():
+        def read(key):
+            found = deployment.store.database.read((key.encode(), b''))
+            return found[0] if found else None
+
+        await deployment.until_ready()
+        keys = ('fleet/key', 'fleet/instances/front-1')
+        before = [await deployment.loop.until(lambda key=key: read(key)) for key in keys]
+        deployment.store.restore(deployment.initial_records)
+        after = [await deployment.loop.until(lambda key=key: read(key)) for key in keys]
+        assert [record.body for record in after] == [record.body for record in before]
+        assert deployment.store.database.renew(after[1].lease_id, deployment.loop.reactor.seconds())
+
+    deployment.loop.run(scenario())
