Continue rollouts across a restore of the store

Cause: a rollout was identified by the revision of its request. In a restored store the same request has another revision, so every restore began the rollout again: it could miss its deadline, and a verdict on a bad version was forgotten.

--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -15,6 +15,8 @@
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway import store_replica
 from rhubarbspar.gateway import version_sums
 
 
@@ -90,6 +92,10 @@
         When this instance last wrote the status.
     rejected
         Whether the candidate was found bad.
+    former_revisions
+        Revisions of the same request before restores of the store.
+    restored_ms
+        When the request was last read from a restored store, or written there again.
     """
 
     request: models.RolloutRequest
@@ -98,6 +104,8 @@
     old_version_sent_ms: float = -math.inf
     status_written_ms: float = -math.inf
     rejected: bool = False
+    former_revisions: set[int] = dataclasses.field(default_factory=set)
+    restored_ms: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,11 +135,14 @@
     verdicts: set[messages.RejectedVersion] = dataclasses.field(default_factory=set)
 
     def apply_request(self, request: models.RolloutRequest, now_ms: float) -> None:
-        """Start a rollout; a rollout request with the same revision changes nothing."""
+        """Start a rollout; the same request, also in a restored store, changes nothing."""
         known = self.active.get(request.service_id)
         if known is not None and known.request.revision == request.revision:
             return
-        self.active[request.service_id] = Rollout(request, now_ms)
+        if known is None or not _is_written_again(known, request, now_ms):
+            self.active[request.service_id] = Rollout(request, now_ms)
+            return
+        self._adopt_revision(known, request, now_ms)
 
     def apply_status(self, status: models.RolloutStatus) -> None:
         """Apply the recorded end of a rollout."""
@@ -242,7 +253,9 @@
         """
         if key is None:
             return
-        counts = self.local_counts.setdefault(key, canary_analysis.ResultCounts())
+        counts = self.local_counts.setdefault(
+            self._current_key(key), canary_analysis.ResultCounts()
+        )
         counts.running -= 1
         if good is None:
             return
@@ -334,6 +347,27 @@
         """Return the share of the requested duration that has passed."""
         return (now_ms - rollout.started_ms) / max(1, rollout.request.duration_ms)
 
+    def _adopt_revision(
+        self, rollout: Rollout, request: models.RolloutRequest, now_ms: float
+    ) -> None:
+        """Continue a rollout under the revision that its request has in the restored store."""
+        verdict = _verdict(rollout.request)
+        rollout.former_revisions.add(rollout.request.revision)
+        rollout.request = request
+        rollout.restored_ms = now_ms
+        if verdict in self.verdicts:
+            self.verdicts.add(_verdict(request))
+        self.local_counts = {
+            self._current_key(key): counts for key, counts in self.local_counts.items()
+        }
+
+    def _current_key(self, key: ResultKey) -> ResultKey:
+        """Return a key with the revision that the request of its rollout has now."""
+        rollout = self.active.get(key.service_id)
+        if rollout is None or key.revision not in rollout.former_revisions:
+            return key
+        return dataclasses.replace(key, revision=rollout.request.revision)
+
     def _is_current(self, key: ResultKey) -> bool:
         rollout = self.active.get(key.service_id)
         return rollout is not None and rollout.request.revision == key.revision
@@ -351,6 +385,18 @@
         ]
 
 
+def _is_written_again(rollout: Rollout, request: models.RolloutRequest, now_ms: float) -> bool:
+    """Return whether a request is that of a rollout under way, read from a restored store.
+
+    Operators may also write a request again that the copy had.
+    """
+    known = rollout.request
+    if (known.version, known.duration_ms) != (request.version, request.duration_ms):
+        return False
+    is_new_era = revisions.era_of(request.revision) > revisions.era_of(known.revision)
+    return is_new_era or now_ms - rollout.restored_ms <= store_replica.RESTORE_GRACE_MS
+
+
 def _verdict(request: models.RolloutRequest) -> messages.RejectedVersion:
     """Return the verdict against the version of a rollout request."""
     return messages.RejectedVersion(request.service_id, request.version, request.revision)
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -14,6 +14,11 @@
     """Register servers of a new version and request its rollout."""
     for number in range(2):
         gateway.add_server(f'new-{number}', version='v2', failure_domain='almaty-b')
+    request_rollout(gateway)
+
+
+def request_rollout(gateway):
+    """Request the rollout of the new version."""
     gateway.declare('rollout/stock', models.RolloutRequest('stock', 'v2', 14_000, 0))
 
 
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
@@ -9,6 +10,7 @@
 from rhubarbspar.gateway import store_replica
 from tests.gateway import conftest
 from tests.gateway import fleet_network
+from tests.gateway import test_rollouts
 
 
 def restore(gateway, lost_keys=()):
@@ -98,3 +100,43 @@
     network.run(3000)
     assert {tuple(sorted(state.servers.views)) for state in states} == {('stock-1', 'stock-3')}
     assert {len(state.fleet.peers) for state in states} == {3 * size - 1}
+
+
+def restore_without_progress(gateway):
+    """Restore the store without the rollout request and its status; write the request again."""
+    lost_keys = {'rollout/stock', 'status/stock'}
+    outputs = restore(gateway, lost_keys)
+    gateway.advance(500)
+    test_rollouts.request_rollout(gateway)
+    return outputs
+
+
+def test_rollout_goes_on_after_a_restore(gateway):
+    """Guards against a rollout that begins again and misses its deadline."""
+    test_rollouts.start_rollout(gateway)
+    test_rollouts.serve(gateway, 7000)
+    restore_without_progress(gateway)
+    versions, statuses = test_rollouts.serve(gateway, 5500)
+    assert statuses[-1] == const.PHASE_COMPLETED
+    assert versions[-1] == 'v2'
+
+
+def test_verdict_on_a_version_outlasts_a_restore(gateway):
+    """Guards against requests to a bad version whose verdict was lost with the store's records."""
+    test_rollouts.start_rollout(gateway)
+    test_rollouts.serve(gateway, 8000, bad_share=0.5)
+    restore_without_progress(gateway)
+    versions, statuses = test_rollouts.serve(gateway, 4000, bad_share=0.5)
+    assert 'v2' not in versions
+    assert statuses == [const.PHASE_ROLLED_BACK]
+
+
+def test_new_request_for_a_version_starts_a_new_rollout(gateway):
+    """Guards against an operator's second attempt that is taken for the first one."""
+    test_rollouts.start_rollout(gateway)
+    test_rollouts.serve(gateway, 8000, bad_share=0.5)
+    restore(gateway)
+    gateway.advance(store_replica.RESTORE_GRACE_MS * 2)
+    test_rollouts.request_rollout(gateway)
+    versions, _ = test_rollouts.serve(gateway, 2000)
+    assert 'v2' in versions
