Update the shares of limits twice a second; reword two comments

Cause: with 100 limited servers and 300 instances an update takes 1.6 ms of processor time; positions change seldom, since silent peers count for 12 s.

Change: an update every 500 ms instead of 200 ms.

Result: 0.3% of a core in that case instead of 0.8% (arithmetic from the timed update); the tests of limits and cold servers pass.

--- a/rhubarbspar/gateway/rate_shares.py
+++ b/rhubarbspar/gateway/rate_shares.py
@@ -11,8 +11,8 @@
 
 from rhubarbspar import const as package_const
 
-# A holder may send at least one request in this time, so a lower limit has fewer holders. The
-# requests in a period then exceed those that the limit permits by no more than one such time.
+# A holder may send at least one request in this time, so a lower limit has fewer holders. In any
+# period, the requests exceed the limit by at most what it permits in this time.
 HOLDER_INTERVAL_MS: typing.Final = 1500
 # While no instance is known to use the limit, the holders may have no requests. After each such
 # time, one more instance may use it; longer than a report takes through the tree of the instances.
@@ -73,8 +73,9 @@
         return self.holder_count / self._limit_per_s * package_const.MS_PER_S
 
     def move(self, position: Position, now_ms: float) -> None:
-        """Adopt a new position; a new holder waits for an interval, as the former one may have
-        used its share just now.
+        """Adopt a new position; a new holder waits for an interval.
+
+        The former holder may have used its share just now.
         """
         was_holder = self._is_holder
         self.position = position
--- a/rhubarbspar/gateway/server_limits.py
+++ b/rhubarbspar/gateway/server_limits.py
@@ -17,7 +17,7 @@
 from rhubarbspar.helpers import rendezvous
 
 # Positions in the order of the holders are updated after this time.
-UPDATE_INTERVAL_MS: typing.Final = 200
+UPDATE_INTERVAL_MS: typing.Final = 500
 
 
 def record_limit(
