Wait for the registration before the test restores the store

The log shows that the restore came between the write of the fleet's key and its answer: the instance had no key yet, and rightly made another one afterwards. The test had read the key from the store, not waited for the instance.

Change: the test restores the store once the instance has its key and lease. What it checks afterwards is unchanged.

--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -222,8 +222,11 @@
             return found[0] if found else None
 
         await deployment.until_ready()
+        gateway = deployment.gateway
+        # Until then the store may have the records, but the instance has no answer yet.
+        await deployment.loop.until(lambda: gateway._driver.transport and gateway._store._lease)
         keys = ('fleet/key', 'fleet/instances/front-1')
-        before = [await deployment.loop.until(lambda key=key: read(key)) for key in keys]
+        before = [read(key) for key in keys]
         deployment.store.restore(deployment.initial_records)
         after = [await deployment.loop.until(lambda key=key: read(key)) for key in keys]
         assert [record.body for record in after] == [record.body for record in before]
