--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -59,17 +59,8 @@
     state: gateway_state.State, event: core_events.Event, now_ms: float
 ) -> list[core_effects.Effect]:
     match event:
-        case events.StoreSnapshot(records, revision):
-            outputs = store_relay.note_store_reachable(state, now_ms, revision)
-            changed = state.replica.apply_snapshot(event, now_ms)
-            log_fields = (
-                ('revision', revision),
-                ('records', len(records)),
-                ('changed', len(changed)),
-                ('known_revision', state.replica.revision),
-            )
-            outputs.append(core_effects.Log('snapshot_applied', log_fields))
-            return outputs + store_records.apply_records(state, changed, now_ms)
+        case events.StoreSnapshot():
+            return _apply_snapshot(state, event, now_ms)
         case events.StoreChanged(records, revision):
             base_revision = state.replica.changed_revision
             outputs = store_relay.note_store_reachable(state, now_ms, revision)
@@ -83,6 +74,23 @@
             return []
 
 
+def _apply_snapshot(
+    state: gateway_state.State, snapshot: events.StoreSnapshot, now_ms: float
+) -> list[core_effects.Effect]:
+    """Apply a complete read of the store; log how much of it is news."""
+    known_revision = state.replica.revision
+    outputs = store_relay.note_store_reachable(state, now_ms, snapshot.revision)
+    changed = state.replica.apply_snapshot(snapshot, now_ms)
+    log_fields = (
+        ('revision', snapshot.revision),
+        ('records', len(snapshot.records)),
+        ('changed', len(changed)),
+        ('known_revision', known_revision),
+    )
+    outputs.append(core_effects.Log('snapshot_applied', log_fields))
+    return outputs + store_records.apply_records(state, changed, now_ms)
+
+
 def _reduce_peer_event(
     state: gateway_state.State,
     event: core_events.PeerConnected | core_events.PeerDisconnected | core_events.MessageReceived,
