--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -233,6 +233,8 @@
         ('status', ended.status),
         ('reused_connection', ended.reused_connection),
         ('elapsed_ms', round(now_ms - attempt.started_ms)),
+        ('heard_ms_ago', responses.age_ms(attempt.view.last_answer_ms, now_ms)),
+        ('peers_heard_ms_ago', responses.age_ms(attempt.view.answered_elsewhere_ms, now_ms)),
     )
     number = pending.request.request_number
     outputs: list[core_effects.Effect] = [
--- a/rhubarbspar/gateway/load_reports.py
+++ b/rhubarbspar/gateway/load_reports.py
@@ -75,6 +75,7 @@
             if view is None:
                 continue
             reported = ReportedLoad(load.requests, now_ms - load.age_ms, load.limit_per_s)
+            view.answered_elsewhere_ms = max(view.answered_elsewhere_ms, reported.reported_ms)
             if view.record_load_elsewhere(reported.requests, reported.reported_ms):
                 pending[load.server_id] = reported
             if reported.reported_ms > view.limit_reported_ms:
--- a/rhubarbspar/gateway/responses.py
+++ b/rhubarbspar/gateway/responses.py
@@ -102,7 +102,7 @@
         ('domain', server.failure_domain),
         ('version', server.version),
         ('load', round(choice.load, 1)),
-        ('load_age_ms', _age_ms(choice.view.reported_ms, now_ms)),
+        ('load_age_ms', age_ms(choice.view.reported_ms, now_ms)),
         ('limit_per_s', choice.view.limit_per_s),
         ('expected_ms', round(choice.expected_ms)),
         ('object', pending.request.object_key),
@@ -113,6 +113,6 @@
     return core_effects.Log('attempt_started', log_fields(pending.request, fields))
 
 
-def _age_ms(since_ms: float, now_ms: float) -> int | None:
+def age_ms(since_ms: float, now_ms: float) -> int | None:
     """Return the time since an event, or ``None`` if it never happened."""
     return None if since_ms == -math.inf else round(now_ms - since_ms)
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -57,7 +57,9 @@
     failure_rate
         Moving average of failed attempts, 0 to 1, at ``failure_rate_ms``.
     last_answer_ms
-        When the server last answered an attempt.
+        When the server last answered an attempt of this instance.
+    answered_elsewhere_ms
+        When the server last answered another instance, by the reports of the peers.
     remove_at_ms
         When a server whose registration has lapsed is removed; infinity otherwise.
     cold_share
@@ -86,6 +88,7 @@
     ejected_until_ms: float = -math.inf
     consecutive_ejections: int = 0
     last_answer_ms: float = -math.inf
+    answered_elsewhere_ms: float = -math.inf
     remove_at_ms: float = math.inf
     cold_share: rate_shares.RateShare | None = None
     slots: int = 1
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -223,3 +223,16 @@
         outputs.extend(receive(gateway, behind))
     sent = [out.message for out in outputs if isinstance(out, core_effects.SendMessage)]
     assert known_revision in {message.base_revision for message in sent}
+
+
+def test_log_of_a_failed_attempt_says_whether_peers_hear_the_server(gateway):
+    """Guards against logs in which a lost link looks like a crashed server."""
+    gateway.declare('members/front-2', PEER)
+    started = conftest.single_effect(gateway.request(), effects.StartAttempt)
+    gateway.now_ms += 200
+    loads = (messages.ServerLoad(started.server.server_id, 1, 50),)
+    receive(gateway, heartbeat(loads=loads))
+    failed = conftest.ended(started, events.AttemptResult.UNREACHABLE)
+    (log,) = [out for out in gateway.reduce(failed) if getattr(out, 'name', '') == 'attempt_failed']
+    assert dict(log.fields)['heard_ms_ago'] is None
+    assert dict(log.fields)['peers_heard_ms_ago'] == 50
