--- /dev/null
+++ b/tests/gateway/deployment.py
@@ -0,0 +1,162 @@
+"""A deployment on loopback ports: a store, a backend server and gateways in one process."""
+
+import json
+import pathlib
+import re
+import socket
+
+from twisted.internet import defer
+
+from rhubarbspar.gateway import daemon as gateway_daemon
+from rhubarbspar.gateway import settings
+from rhubarbspar.http1 import client
+from rhubarbspar.http1 import messages
+from rhubarbspar.http1 import server
+from tests.gateway import test_settings
+from tests.platform import standin
+
+CONFIGURATION = {
+    'version': 'r1',
+    'routes': {
+        'columns': ['name', 'host', 'pathPrefix', 'routeType', 'timeout', 'service'],
+        'rows': [['r-1', 'shop.example', '/stock/', 'safe', '1s', 'stock']],
+    },
+    'services': {'columns': ['name'], 'rows': [['stock']]},
+    'tenants': {'columns': ['name', 'apiKeys'], 'rows': [['workshop', ['key-1']]]},
+}
+SERVER_HEADERS = ((b'x-seal', b'1'), (b'x-rhubarbspar-server-load', b'1,0,3'))
+
+
+def free_address():
+    """Return a loopback address with a free port."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+class Gateway:
+    """A gateway on loopback ports; its parts use a reactor of the test's choice.
+
+    Attributes
+    ----------
+    addresses
+        Addresses of the gateway, by name.
+    daemon
+        The gateway itself.
+    """
+
+    def __init__(self, instance_id, store_address, reactor, folder):
+        """Start the gateway."""
+        self.addresses = {name: free_address() for name in ('front', 'ready', 'directory')}
+        path = folder / f'{instance_id}.jsonc'
+        path.write_text(self._settings(instance_id, store_address))
+        self.daemon = gateway_daemon.Daemon(str(path), settings.load(path), reactor)
+        self.daemon.start()
+
+    def _settings(self, instance_id, store_address):
+        placeholders = {
+            **test_settings.VALUES,
+            'node': json.dumps(instance_id),
+            'listen.front': json.dumps(self.addresses['front']),
+            'listen.ready': json.dumps(self.addresses['ready']),
+            'listen.directory': json.dumps(self.addresses['directory']),
+            'provider.address': json.dumps(store_address),
+            'ip': '127.0.0.1',
+            'internalPorts.0': free_address().rpartition(':')[2],
+            'internalPorts.1': free_address().rpartition(':')[2],
+        }
+        text = re.sub(
+            r'{{([\w.]+)(?:\|json)?}}',
+            lambda match: placeholders[match[1]],
+            pathlib.Path(test_settings.TEMPLATE).read_text(),
+        )
+        return text.replace('127.0.0.1:9464', free_address())
+
+
+class Deployment:
+    """A store, a backend server and a gateway on loopback ports; more gateways can be added."""
+
+    def __init__(self, loop, tmp_path):
+        """Start all parts."""
+        self.loop = loop
+        self.store = standin.Store(loop.reactor)
+        self.received = []
+        limits = server.Limits(16_384, 1_048_576, 3000, 15_000)
+        self._site = server.Site(self._serve, lambda: limits, lambda: 0.0)
+        self._port = loop.reactor.listenTCP(0, self._site, interface='127.0.0.1')
+        self.store.put('op/config', json.dumps(CONFIGURATION).encode())
+        self.declare('ready', 1)
+        self.initial_records = self.store.copy()
+        self._folder = tmp_path
+        self._gateways = []
+        first = self.add_gateway('front-1', loop.reactor)
+        self.addresses = first.addresses
+        self.gateway = first.daemon
+
+    @property
+    def server_port(self):
+        """Return the port of the backend server."""
+        return self._port.getHost().port
+
+    def add_gateway(self, instance_id, reactor):
+        """Start a gateway and return it."""
+        added = Gateway(instance_id, self.store.address, reactor, self._folder)
+        self._gateways.append(added)
+        return added
+
+    def configure(self, version, prefixes):
+        """Write a configuration with a route for each path prefix."""
+        columns = CONFIGURATION['routes']['columns']
+        rows = [
+            [f'r-{number}', 'shop.example', prefix, 'safe', '1s', 'stock']
+            for number, prefix in enumerate(prefixes)
+        ]
+        routes = {'columns': columns, 'rows': rows}
+        record = {**CONFIGURATION, 'version': f'r{version}', 'routes': routes}
+        self.store.put('op/config', json.dumps(record).encode())
+
+    def declare(self, state, sequence, server_id='s-1'):
+        """Register the backend server in a state, under an id."""
+        record = {
+            'service': 'stock',
+            'address': f'127.0.0.1:{self.server_port}',
+            'zone': 'almaty-a',
+            'version': 'v1',
+            'slots': 3,
+            'state': state,
+            'seqNo': sequence,
+        }
+        self.store.put(f'servers/{server_id}', json.dumps(record).encode())
+
+    async def call(self, address_name, path, key='key-1'):
+        """Send a GET request to an address of the first gateway and return the response."""
+        return await self.call_address(self.addresses[address_name], path, key)
+
+    async def call_address(self, address, path, key='key-1'):
+        """Send a GET request to an address and return the response."""
+        host, _, port = address.rpartition(':')
+        headers = ((b'host', b'shop.example'), (b'authorization', f'Bearer {key}'.encode()))
+        finished = defer.Deferred()
+        call = client.Call(messages.Request(b'GET', path, headers), finished.callback)
+        pool = client.Pool(self.loop.reactor, client.Endpoint(host, int(port)), lambda: 0.0, 1000)
+        pool.start(call, 1000)
+        outcome = await finished
+        pool.close()
+        return outcome
+
+    async def until_ready(self):
+        """Wait until the gateway knows the configuration and the server."""
+        state = self.gateway._state
+        await self.loop.until(lambda: state.is_ready and state.servers.views)
+
+    async def close(self):
+        """Stop all parts."""
+        for gateway in self._gateways:
+            gateway.daemon.close()
+        self._site.abort()
+        await self._port.stopListening()
+        await self.store.close()
+
+    def _serve(self, exchange):
+        self.received.append(exchange.request)
+        exchange.respond(messages.Response(200, SERVER_HEADERS, b'in stock'))
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -24,6 +24,7 @@
     'bounds.budgetWindow': '"10s"',
     'ip': '10.1.0.23',
     'internalPorts.0': '7460',
+    'internalPorts.1': '7461',
 }
 
 
