Send attempts through peers while the links to the servers are lost

Callers of an instance that was partitioned from all backend servers got 503 and 504 for as long as the partition lasted. Cause: an instance had only its own connections to servers, and held what these showed to be true of the servers.

Change: when several servers fail at an instance, it opens connections to servers that its peers hear. If none opens, its links are lost: it forgets the failures that it has counted against servers, tells its peers, and sends its attempts through a peer near the server that has its links. It keeps every decision about the request; the peer passes the attempt on once, unchanged, or returns it as not sent.

Forwarded attempts have a port and connections of their own, so that large bodies do not delay heartbeats, and carry a proof of the key of the fleet.

--- a/rhubarbspar/gateway/const.py
+++ b/rhubarbspar/gateway/const.py
@@ -66,6 +66,8 @@
 REASON_SERVERS_FULL: typing.Final = 'servers_full'
 REASON_STOPPING: typing.Final = 'stopping'
 METRIC_ATTEMPTS: typing.Final = 'attempts'
+METRIC_FORWARDS: typing.Final = 'forwards'
+METRIC_SERVER_LINKS: typing.Final = 'server_links'
 METRIC_REQUESTS: typing.Final = 'requests'
 METRIC_LATENCY: typing.Final = 'latency'
 
--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -138,6 +138,9 @@
         key = await self._store.fleet_key()
         if not key:
             return
+        self._backends.fleet_key = key
+        self._driver.forwards.fleet_key = key
+        self._listeners.open_forwards(self._settings.forward_address, self._driver.forwards.receive)
         transport = peer_transport.PeerTransport(
             initial_state.peer_settings(self._settings, self._member, key),
             self._driver.deliver,
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -11,6 +11,7 @@
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import forwarders
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import outcomes
 from rhubarbspar.gateway import placement
@@ -22,14 +23,17 @@
 # Servers to which one request may be sent, including those that did not run it. ``attempts_max`` of
 # a route only limits the attempts that may have run.
 SENDS_MAX: typing.Final = 4
-CONNECT_TIMEOUT_BASE_MS: typing.Final = 250
-CONNECT_ROUND_TRIPS: typing.Final = 3
 # An attempt at an unresponsive server is given up after this many times its expected time.
 STALLED_FACTOR: typing.Final = 2.0
 STALLED_BASE_MS: typing.Final = 100
 # A retry is only worth its load if this share of the processing time fits into the remaining time.
 RETRY_PROCESSING_SHARE: typing.Final = 0.6
 
+# Results after which nothing was sent to a server.
+_NOT_SENT: typing.Final = frozenset(
+    (events.AttemptResult.NOT_FORWARDED, events.AttemptResult.UNREACHABLE)
+)
+
 
 def receive_request(
     state: gateway_state.State, request: models.Request, now_ms: float
@@ -72,6 +76,8 @@
     if pending is None or pending.current_attempt is not attempt:
         return outputs
     pending.current_attempt = None
+    if ended.result == events.AttemptResult.NOT_FORWARDED:
+        pending.tried_server_ids.remove(attempt.view.server.server_id)
     if ended.result in outcomes.MAY_HAVE_RUN:
         pending.run_count += 1
         pending.may_have_run = True
@@ -157,16 +163,18 @@
     server = choice.view.server
     attempt = _new_attempt(state, pending, choice, now_ms)
     _record_start(state, pending, attempt, now_ms)
-    round_trip_ms = state.network.round_trip_ms(server.failure_domain)
+    forwarder = None if attempt.forwarder is None else attempt.forwarder.member
+    next_hop_domain = (forwarder or server).failure_domain
     started = effects.StartAttempt(
         attempt.request_number,
         attempt.attempt_number,
         server,
         None if pending.account is None else pending.account.account_id,
         pending.due_ms - now_ms,
-        CONNECT_TIMEOUT_BASE_MS + CONNECT_ROUND_TRIPS * round_trip_ms,
+        state.network.connect_timeout_ms(next_hop_domain),
+        forwarder,
     )
-    return [started, responses.attempt_started_log(pending, choice, now_ms)]
+    return [started, responses.attempt_started_log(pending, choice, forwarder, now_ms)]
 
 
 def _new_attempt(
@@ -187,6 +195,7 @@
         choice.place,
         choice.load >= choice.view.slots,
         state.rollouts.result_key(choice.view.server, pending.route.route_id),
+        forwarders.choose(state, pending, choice.view.server, now_ms),
     )
 
 
@@ -208,6 +217,8 @@
     if view.is_cold(now_ms) and view.cold_share is None:
         server_limits.start_cold_share(state, view, now_ms)
     view.record_sent(now_ms)
+    if attempt.forwarder is not None:
+        attempt.forwarder.record_forward(now_ms)
     state.region_shares.record(state.network.regions.get(server.failure_domain, ''), now_ms)
     state.rollouts.record_sent(attempt.result_key, now_ms)
 
@@ -274,8 +285,8 @@
         state, route
     ):
         return False
-    if ended.result == events.AttemptResult.UNREACHABLE:
-        # Nothing was sent to a server, so the retry costs no retry budget.
+    if ended.result in _NOT_SENT:
+        # The retry costs no retry budget.
         return True
     return state.budget.try_acquire(pending.service_id, state.fleet.registered_count, now_ms)
 
@@ -302,7 +313,7 @@
         return []
     pending.current_attempt = None
     state.attempts.pop(attempt.attempt_number, None)
-    attempt.view.running = max(0, attempt.view.running - 1)
+    attempt.release()
     state.rollouts.record_result(attempt.result_key, good=None, slow=False)
     return [effects.CancelAttempt(attempt.attempt_number)]
 
@@ -313,9 +324,10 @@
     """Refuse a request whose deadline has passed."""
     attempt = pending.current_attempt
     number = pending.request.request_number
+    outputs: list[core_effects.Effect] = []
     if attempt is not None:
-        outcomes.record_timeout(state, pending, attempt, now_ms)
-    outputs = _cancel_current(state, pending)
+        outputs.extend(outcomes.record_timeout(state, pending, attempt, now_ms))
+    outputs.extend(_cancel_current(state, pending))
     state.pending.pop(number)
     status = const.STATUS_GATEWAY_TIMEOUT
     return outputs + responses.refuse(
@@ -354,9 +366,8 @@
         return []
     if not _may_retry(state, pending, broken, now_ms):
         return []
-    view.record_failure(now_ms)
-    view.eject(now_ms)
-    outputs = _cancel_current(state, pending)
+    outputs = outcomes.record_silence(state, attempt, now_ms)
+    outputs.extend(_cancel_current(state, pending))
     pending.run_count += 1
     pending.may_have_run = True
     fields = (
--- a/rhubarbspar/gateway/driver.py
+++ b/rhubarbspar/gateway/driver.py
@@ -17,6 +17,7 @@
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import log_stream
+from rhubarbspar.gateway import peer_forwards
 from rhubarbspar.gateway import reducer
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_tasks
@@ -65,6 +66,7 @@
         """Create a driver; ``connect`` sets the parts that do I/O before the first event."""
         self.state = state
         self.transport: PeerTransport | None = None
+        self.forwards = peer_forwards.PeerForwards(self.deliver, state.fleet.own_member.instance_id)
         self._clock_ms = clock_ms
         self._counters = counters
         self._process = process
@@ -171,6 +173,8 @@
                 self._callers.refuse(effect)
             case effects.ForgetServer(server_id):
                 self._backends.close_pool(server_id)
+            case effects.StartForward() | effects.AnswerForward() | effects.ProbeServer():
+                self._carry_out_link_effect(effect)
             case _:
                 self._carry_out_other(effect)
 
@@ -179,6 +183,20 @@
         if request is not None:
             self._backends.start(effect, request)
 
+    def _carry_out_link_effect(
+        self, effect: effects.StartForward | effects.AnswerForward | effects.ProbeServer
+    ) -> None:
+        match effect:
+            case effects.StartForward(forward_number):
+                message = self.forwards.find_message(forward_number)
+                if message is not None:
+                    self._backends.start_forward(effect, message)
+            case effects.AnswerForward(forward_number, attempt_result, attempt_number):
+                response = self._backends.response(attempt_number)
+                self.forwards.answer(forward_number, attempt_result, response)
+            case effects.ProbeServer():
+                self._backends.probe(effect)
+
     def _carry_out_other(self, effect: core_effects.Effect) -> None:
         match effect:
             case effects.WriteStatus(status):
--- a/rhubarbspar/gateway/effects.py
+++ b/rhubarbspar/gateway/effects.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from rhubarbspar.core import effects
+from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
 
 
@@ -18,6 +19,8 @@
         The client account that is passed to the server, if any.
     time_left_ms
         Time until the deadline, after which the server stops working on the request.
+    forwarder
+        The peer that passes the request on to the server; ``None`` to send it directly.
     """
 
     request_number: int
@@ -26,6 +29,34 @@
     account_id: str | None
     time_left_ms: float
     connect_timeout_ms: float
+    forwarder: models.Member | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartForward(effects.Effect):
+    """Send the attempt of a peer to a backend server, unchanged."""
+
+    forward_number: int
+    attempt_number: int
+    server: models.BackendServer
+    connect_timeout_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerForward(effects.Effect):
+    """Return the response of an attempt to the peer, or its result if there is no response."""
+
+    forward_number: int
+    result: events.AttemptResult
+    attempt_number: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeServer(effects.Effect):
+    """Open a connection to a backend server and close it; ``ProbeEnded`` follows."""
+
+    server: models.BackendServer
+    timeout_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -32,6 +32,8 @@
         The connection failed after the request may have been sent.
     MALFORMED
         The response was invalid.
+    NOT_FORWARDED
+        The peer that was to pass the attempt on did not, so nothing was sent to the server.
     NOT_RUN
         The server reported that it did not run the request.
     UNREACHABLE
@@ -43,6 +45,7 @@
     ANSWERED = 'answered'
     BROKEN = 'broken'
     MALFORMED = 'malformed'
+    NOT_FORWARDED = 'not_forwarded'
     NOT_RUN = 'not_run'
     UNREACHABLE = 'unreachable'
     WRONG_INSTANCE = 'wrong_instance'
@@ -83,6 +86,28 @@
     limit_per_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardReceived(events.Event):
+    """A peer asks this instance to pass an attempt on."""
+
+    forwarded: models.ForwardedAttempt
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardAbandoned(events.Event):
+    """The peer has closed the connection of an attempt before its result."""
+
+    forward_number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeEnded(events.Event):
+    """The check of a server has shown whether a connection to it can be opened."""
+
+    server_id: str
+    opened: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordRead:
     """A key of the store; ``content`` is ``None`` if the key was deleted."""
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -78,6 +78,12 @@
         the peer has not confirmed it.
     store_reachable_since_ms
         Since when it has been reported, without a gap, to reach the store.
+    links_lost
+        Whether it has lost its links to the backend servers.
+    forwards_running
+        Attempts of this instance that it is passing on.
+    forwarded_ms, forward_failed_ms
+        When it was last sent an attempt to pass on, and when it last failed to do so.
     """
 
     member: models.Member
@@ -98,6 +104,10 @@
     unconfirmed_ms: float = -math.inf
     leaving: bool = False
     store_reachable_since_ms: float = math.inf
+    links_lost: bool = False
+    forwards_running: int = 0
+    forwarded_ms: float = -math.inf
+    forward_failed_ms: float = -math.inf
 
     def record_heartbeat(
         self, heartbeat: messages.Heartbeat, now_ms: float, *, was_live: bool
@@ -117,6 +127,12 @@
             self.store_revision = heartbeat.store_revision
             self.revision_changed_ms = now_ms
         self.leaving = heartbeat.leaving
+        self.links_lost = heartbeat.links_lost
+
+    def record_forward(self, now_ms: float) -> None:
+        """Count an attempt that the peer is to pass on."""
+        self.forwards_running += 1
+        self.forwarded_ms = now_ms
 
     def record_store_contact(self, reachable: bool, now_ms: float, *, was_live: bool) -> None:
         """Note whether the peer reaches the store; after a gap, its contact counts from now."""
@@ -312,6 +328,7 @@
         absent_ids = set(heartbeat.absent_ids)
         leaving_ids = set(heartbeat.leaving_ids)
         follower_ids = set(heartbeat.follower_ids)
+        links_lost_ids = set(heartbeat.links_lost_ids)
         for peer_id, peer in self.peers.items():
             if peer.connected or not self._speaks_for(reporter, peer):
                 continue
@@ -321,6 +338,7 @@
             was_live = peer.is_live(now_ms)
             peer.reported_live_ms = now_ms
             peer.leaving = peer_id in leaving_ids
+            peer.links_lost = peer_id in links_lost_ids
             peer.record_store_contact(peer_id in follower_ids, now_ms, was_live=was_live)
 
     def reported_peers(self, relation: Relation) -> list[Peer]:
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -317,6 +317,8 @@
         _ids(peer for peer in live if peer.leaving),
         _ids(peer for peer in live if peer.store_reachable),
         _loads(state, relation, now_ms),
+        state.links.are_lost,
+        _ids(peer for peer in live if peer.links_lost),
     )
 
 
--- a/rhubarbspar/gateway/lifecycle.py
+++ b/rhubarbspar/gateway/lifecycle.py
@@ -35,7 +35,7 @@
         lifecycle.stopped_listening = True
         outputs.append(effects.StopListening())
     is_overdue = elapsed_ms >= state.bounds.stop_grace_ms - const.STOP_EXIT_MARGIN_MS
-    if is_overdue or not state.pending:
+    if is_overdue or not (state.pending or state.forwards):
         lifecycle.exited = True
         outputs.append(core_effects.Log('stopped', (('pending', len(state.pending)),)))
         outputs.append(effects.Exit())
--- a/rhubarbspar/gateway/listeners.py
+++ b/rhubarbspar/gateway/listeners.py
@@ -5,6 +5,7 @@
 
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import directory
+from rhubarbspar.gateway import forward_protocol
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import state as gateway_state
@@ -63,6 +64,12 @@
         self._serve(settings.directory_address, self._answer_lookup)
         self._serve(settings.metrics_address, self._answer_metrics)
 
+    def open_forwards(self, address: str, handle: abc.Callable[[server.Exchange], None]) -> None:
+        """Open the port on which peers send the attempts that this instance passes on."""
+        site = server.Site(handle, self._forward_limits, self._clock_ms)
+        self._sites.append(site)
+        self._listen(address, site)
+
     def stop_accepting(self) -> None:
         """Accept no more connections of callers."""
         self._caller_port.stopListening()
@@ -90,6 +97,16 @@
             limits.idle_timeout_ms,
         )
 
+    def _forward_limits(self) -> server.Limits:
+        """Return the limits of what peers send: a caller's request with some more headers."""
+        limits = self._caller_limits()
+        return server.Limits(
+            limits.header_max_bytes + forward_protocol.HEADERS_MAX_BYTES,
+            limits.body_max_bytes,
+            limits.header_timeout_ms,
+            models.DEFAULT_IDLE_TIMEOUT_MS,
+        )
+
     def _answer_readiness(self, _request: messages.Request) -> messages.Response:
         return platform_directory.encode_readiness(self._state.is_ready)
 
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -111,6 +111,10 @@
         live, that are leaving, and that watch the store.
     loads
         Recent load reports of backend servers.
+    links_lost
+        Whether the sender has lost its links to the backend servers.
+    links_lost_ids
+        Instances that have, as in ``leaving_ids``.
     """
 
     incarnation: str
@@ -127,6 +131,8 @@
     leaving_ids: tuple[str, ...] = ()
     follower_ids: tuple[str, ...] = ()
     loads: tuple[ServerLoad, ...] = ()
+    links_lost: bool = False
+    links_lost_ids: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/models.py
+++ b/rhubarbspar/gateway/models.py
@@ -224,7 +224,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
-    """An instance of the fleet, as it registers itself."""
+    """An instance of the fleet, as it registers itself.
+
+    Attributes
+    ----------
+    forward_address
+        Where it accepts attempts of peers that have lost their links to the backend servers;
+        empty if it accepts none.
+    """
 
     instance_id: str
     incarnation: str
@@ -232,6 +239,29 @@
     region: str
     caller_address: str
     peer_address: str
+    forward_address: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardedAttempt:
+    """An attempt that a peer asks this instance to pass on.
+
+    Attributes
+    ----------
+    forward_number
+        Number unique within the process.
+    attempt_id
+        The caller's identifier of its attempt.
+    server_id
+        Backend server that the peer has chosen.
+    time_left_ms
+        Time until the deadline of the request.
+    """
+
+    forward_number: int
+    attempt_id: str
+    server_id: str
+    time_left_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -8,6 +8,7 @@
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import gossip
+from rhubarbspar.gateway import link_checks
 from rhubarbspar.gateway import load_reports
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
@@ -29,6 +30,15 @@
     )
 )
 
+# Results of a connection that could not be opened or has failed.
+_CONNECTION_FAILURES: typing.Final = frozenset(
+    (
+        events.AttemptResult.BROKEN,
+        events.AttemptResult.NOT_FORWARDED,
+        events.AttemptResult.UNREACHABLE,
+    )
+)
+
 # Results with a response of the expected server.
 _FROM_THE_SERVER: typing.Final = frozenset(
     (events.AttemptResult.ANSWERED, events.AttemptResult.NOT_RUN)
@@ -80,14 +90,15 @@
         A metric, and the report of crashes to the peers.
     """
     view = attempt.view
-    view.running = max(0, view.running - 1)
+    attempt.release()
     version_result = _version_result(state, attempt, ended, now_ms)
     state.rollouts.record_result(
         attempt.result_key, good=version_result.good, slow=version_result.slow
     )
     outputs = _record_reports(state, view, ended, now_ms)
-    if ended.connect_ms is not None:
+    if ended.connect_ms is not None and attempt.forwarder is None:
         state.network.record_connect_time(view.server.failure_domain, ended.connect_ms)
+        state.links.record_opened(attempt.started_ms + ended.connect_ms)
     outputs.extend(_record_server_result(state, attempt, ended, now_ms))
     return [core_effects.Count(const.METRIC_ATTEMPTS, ended.result.value), *outputs]
 
@@ -97,20 +108,54 @@
     pending: gateway_state.PendingRequest,
     attempt: gateway_state.Attempt,
     now_ms: float,
-) -> None:
+) -> list[core_effects.Effect]:
     """Record a failure of the server of a request that has timed out.
 
     The server is only blamed if it had the expected time and the processing time of the route. It
     is ejected if it has answered nothing since the attempt started.
     """
+    if _is_link_failure(state, attempt):
+        return []
     elapsed_ms = now_ms - attempt.started_ms
     attempt.view.record_lateness(elapsed_ms, attempt.expected_ms)
     attempt.view.deadline_missed_ms = now_ms
     if elapsed_ms < attempt.expected_ms + uncached_processing_ms(state, pending.route):
-        return
-    attempt.view.record_failure(now_ms)
+        return []
     if attempt.view.last_answer_ms < attempt.started_ms:
-        attempt.view.eject(now_ms)
+        return record_silence(state, attempt, now_ms)
+    attempt.view.record_failure(now_ms)
+    return []
+
+
+def record_silence(
+    state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float
+) -> list[core_effects.Effect]:
+    """Record that a server has answered nothing for too long, and eject it."""
+    if _is_link_failure(state, attempt):
+        return []
+    if attempt.forwarder is not None:
+        # The peer may be the one that does not respond.
+        attempt.forwarder.forward_failed_ms = now_ms
+    attempt.view.record_failure(now_ms)
+    attempt.view.eject(now_ms)
+    return _note_link_failure(state, attempt, now_ms)
+
+
+def _is_link_failure(state: gateway_state.State, attempt: gateway_state.Attempt) -> bool:
+    """Return whether an attempt has failed because of the links of this instance.
+
+    Such a failure says nothing about the server.
+    """
+    return attempt.forwarder is None and state.links.explains(attempt.started_ms)
+
+
+def _note_link_failure(
+    state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float
+) -> list[core_effects.Effect]:
+    """Note the failure of a direct attempt, which may be one of the links."""
+    if attempt.forwarder is not None:
+        return []
+    return link_checks.note_failure(state, attempt.view.server.server_id, now_ms)
 
 
 def _record_server_result(
@@ -121,6 +166,8 @@
 ) -> list[core_effects.Effect]:
     """Update the server of an attempt by its result."""
     view = attempt.view
+    if ended.result in _CONNECTION_FAILURES:
+        return _record_connection_failure(state, attempt, ended.result, now_ms)
     match ended.result:
         case events.AttemptResult.ANSWERED if ended.status < const.STATUS_SERVER_ERROR:
             _record_success(attempt, now_ms)
@@ -131,12 +178,6 @@
             view.last_answer_ms = now_ms
             if ended.load is not None:
                 view.record_refusal(ended.load)
-        case events.AttemptResult.BROKEN:
-            _record_broken_attempt(state, attempt, now_ms)
-        case events.AttemptResult.UNREACHABLE:
-            view.eject(now_ms)
-            view.record_failure(now_ms)
-            return _confirm_crash(state, attempt, now_ms)
         case events.AttemptResult.WRONG_INSTANCE:
             view.eject(now_ms)
         case events.AttemptResult.ANSWERED:
@@ -145,6 +186,29 @@
     return []
 
 
+def _record_connection_failure(
+    state: gateway_state.State,
+    attempt: gateway_state.Attempt,
+    attempt_result: events.AttemptResult,
+    now_ms: float,
+) -> list[core_effects.Effect]:
+    """Record a failed connection as one of the forwarder, the links or the server."""
+    if attempt_result == events.AttemptResult.NOT_FORWARDED:
+        if attempt.forwarder is not None:
+            attempt.forwarder.forward_failed_ms = now_ms
+        return []
+    if _is_link_failure(state, attempt):
+        return []
+    attempt.view.record_failure(now_ms)
+    outputs: list[core_effects.Effect] = []
+    if attempt_result == events.AttemptResult.UNREACHABLE:
+        attempt.view.eject(now_ms)
+        outputs.extend(_confirm_crash(state, attempt, now_ms))
+    else:
+        _record_broken_attempt(state, attempt, now_ms)
+    return outputs + _note_link_failure(state, attempt, now_ms)
+
+
 def _record_reports(
     state: gateway_state.State,
     view: servers.ServerView,
--- a/rhubarbspar/gateway/placement.py
+++ b/rhubarbspar/gateway/placement.py
@@ -139,7 +139,7 @@
 ) -> bool:
     """Return whether a server is neither draining nor evacuated, and in a permitted region."""
     server = view.server
-    if server.draining or server.failure_domain in state.declared.evacuated_domains:
+    if not state.declared.may_get_requests(server):
         return False
     region = state.network.regions.get(server.failure_domain, '')
     if key.account_regions and region not in key.account_regions:
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -6,8 +6,10 @@
 from rhubarbspar.gateway import dispatch
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import forwards
 from rhubarbspar.gateway import gossip
 from rhubarbspar.gateway import lifecycle
+from rhubarbspar.gateway import link_checks
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import state as gateway_state
@@ -37,6 +39,8 @@
     match event:
         case events.RequestReceived(request):
             return dispatch.receive_request(state, request, now_ms)
+        case events.AttemptEnded(attempt_number) if attempt_number in state.forwards:
+            return forwards.finish(state, event, now_ms)
         case events.AttemptEnded():
             return dispatch.finish_attempt(state, event, now_ms)
         case events.RequestAbandoned(request_number):
@@ -45,6 +49,8 @@
             return _tick(state, paused_ms, now_ms)
         case core_events.StopRequested():
             return lifecycle.request_stop(state, now_ms)
+        case events.ForwardReceived() | events.ForwardAbandoned() | events.ProbeEnded():
+            return _reduce_link_event(state, event, now_ms)
         case (
             core_events.PeerConnected()
             | core_events.PeerDisconnected()
@@ -55,6 +61,21 @@
             return _reduce_store_event(state, event, now_ms)
 
 
+def _reduce_link_event(
+    state: gateway_state.State,
+    event: events.ForwardReceived | events.ForwardAbandoned | events.ProbeEnded,
+    now_ms: float,
+) -> list[core_effects.Effect]:
+    match event:
+        case events.ForwardReceived(forwarded):
+            return forwards.receive(state, forwarded, now_ms)
+        case events.ForwardAbandoned(forward_number):
+            return forwards.abandon(state, forward_number)
+        case events.ProbeEnded():
+            return link_checks.finish_probe(state, event, now_ms)
+    return []
+
+
 def _reduce_store_event(
     state: gateway_state.State, event: core_events.Event, now_ms: float
 ) -> list[core_effects.Effect]:
@@ -120,7 +141,16 @@
     lost = state.replica.remove_lost_records(now_ms)
     outputs.extend(store_records.apply_records(state, lost, now_ms))
     outputs.extend(store_records.remove_lapsed_servers(state, now_ms))
-    outputs.extend(dispatch.check_deadlines(state, now_ms))
+    outputs.extend(_check_attempts(state, now_ms))
     outputs.extend(gossip.tick(state, now_ms))
     outputs.extend(lifecycle.tick(state, now_ms))
     return outputs
+
+
+def _check_attempts(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    """Check the deadlines of all attempts, and the links on which they are sent."""
+    return [
+        *dispatch.check_deadlines(state, now_ms),
+        *forwards.check_deadlines(state, now_ms),
+        *link_checks.tick(state, now_ms),
+    ]
--- a/rhubarbspar/gateway/responses.py
+++ b/rhubarbspar/gateway/responses.py
@@ -91,7 +91,10 @@
 
 
 def attempt_started_log(
-    pending: gateway_state.PendingRequest, choice: selection.Choice, now_ms: float
+    pending: gateway_state.PendingRequest,
+    choice: selection.Choice,
+    forwarder: models.Member | None,
+    now_ms: float,
 ) -> core_effects.Log:
     """Return the log line of a started attempt, with the inputs that decided on its server."""
     server = choice.view.server
@@ -109,6 +112,7 @@
         ('gain', round(choice.gain, 2)),
         ('place', choice.place.name.lower()),
         ('attempt', pending.send_count),
+        ('forwarder', None if forwarder is None else forwarder.instance_id),
     )
     return core_effects.Log('attempt_started', log_fields(pending.request, fields))
 
--- a/rhubarbspar/gateway/selection.py
+++ b/rhubarbspar/gateway/selection.py
@@ -196,6 +196,10 @@
             return SAME_REGION_MS
         return OTHER_REGION_MS
 
+    def connect_timeout_ms(self, failure_domain: str) -> float:
+        """Return the time after which opening a connection to a failure domain is given up."""
+        return CONNECT_TIMEOUT_BASE_MS + CONNECT_ROUND_TRIPS * self.round_trip_ms(failure_domain)
+
     def is_in_own_region(self, failure_domain: str) -> bool:
         """Return whether a failure domain is in the region of this instance."""
         return self.regions.get(failure_domain) == self.region
@@ -215,6 +219,8 @@
         self.measured_ms[failure_domain] = min(connect_ms, known * MINIMUM_GROWTH)
 
 
+CONNECT_TIMEOUT_BASE_MS: typing.Final = 250
+CONNECT_ROUND_TRIPS: typing.Final = 3
 # Typical round trip times, used before the first measurement, milliseconds.
 SAME_DOMAIN_MS: typing.Final = 1.0
 SAME_REGION_MS: typing.Final = 3.0
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -178,6 +178,14 @@
         self.consecutive_ejections += 1
         self.ejected_until_ms = now_ms + duration_ms
 
+    def forget_failures(self) -> None:
+        """Forget failures and late responses that came from the links of this instance."""
+        self.failure_rate = 0
+        self.ejected_until_ms = -math.inf
+        self.consecutive_ejections = 0
+        self.deadline_missed_ms = -math.inf
+        self.lateness = LATENESS_MIN
+
     def record_slowdown(self, ratio: float) -> None:
         """Add the ratio of a processing time to the typical one to the average."""
         bounded = min(SLOWDOWN_MAX, max(SLOWDOWN_MIN, ratio))
--- a/rhubarbspar/gateway/settings.py
+++ b/rhubarbspar/gateway/settings.py
@@ -15,6 +15,7 @@
 CONF_CALLER_ADDRESS: typing.Final = 'caller_address'
 CONF_DIRECTORY_ADDRESS: typing.Final = 'directory_address'
 CONF_FAILURE_DOMAIN: typing.Final = 'failure_domain'
+CONF_FORWARD_ADDRESS: typing.Final = 'forward_address'
 CONF_INSTANCE_ID: typing.Final = 'instance_id'
 CONF_LOG_LEVEL: typing.Final = 'log_level'
 CONF_METRICS_ADDRESS: typing.Final = 'metrics_address'
@@ -53,7 +54,8 @@
 
     Attributes
     ----------
-    caller_address, directory_address, metrics_address, peer_address, readiness_address
+    caller_address, directory_address, forward_address, metrics_address, peer_address,
+    readiness_address
         Where the gateway listens, ``host:port`` with an IP address.
     regions
         Region of each failure domain.
@@ -67,6 +69,7 @@
     regions: dict[str, str]
     caller_address: str
     directory_address: str
+    forward_address: str
     metrics_address: str
     peer_address: str
     readiness_address: str
@@ -111,6 +114,7 @@
         voluptuous.Required(CONF_CALLER_ADDRESS): validators.address,
         voluptuous.Required(CONF_DIRECTORY_ADDRESS): validators.address,
         voluptuous.Required(CONF_FAILURE_DOMAIN): validators.identifier,
+        voluptuous.Required(CONF_FORWARD_ADDRESS): validators.address,
         voluptuous.Required(CONF_INSTANCE_ID): validators.identifier,
         voluptuous.Optional(CONF_LOG_LEVEL): voluptuous.In(LOG_LEVELS),
         voluptuous.Required(CONF_METRICS_ADDRESS): validators.address,
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -15,6 +15,7 @@
 from rhubarbspar.gateway import quotas as account_quotas
 from rhubarbspar.gateway import rollouts as rollout_state
 from rhubarbspar.gateway import selection
+from rhubarbspar.gateway import server_links
 from rhubarbspar.gateway import servers as server_views
 from rhubarbspar.gateway import store_replica
 from rhubarbspar.gateway import traffic_shifts
@@ -49,6 +50,10 @@
     evacuation_epoch: int = 0
     rollout_statuses: dict[str, models.RolloutStatus] = dataclasses.field(default_factory=dict)
 
+    def may_get_requests(self, server: models.BackendServer) -> bool:
+        """Return whether a server is neither draining nor in an evacuated failure domain."""
+        return not server.draining and server.failure_domain not in self.evacuated_domains
+
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
@@ -68,6 +73,10 @@
         queue and does not show the processing time.
     result_key
         The version and route whose results include this one, if a rollout is under way.
+    forwarder
+        Peer that passes the attempt on to the server; ``None`` if it is sent directly.
+    is_running
+        Whether the attempt counts as running at the server.
     """
 
     request_number: int
@@ -79,6 +88,17 @@
     place: affinity.Place
     was_queued: bool
     result_key: rollout_state.ResultKey | None
+    forwarder: gateway_fleet.Peer | None = None
+    is_running: bool = True
+
+    def release(self) -> None:
+        """Count the attempt as running no more, at its server and its forwarder."""
+        if not self.is_running:
+            return
+        self.is_running = False
+        self.view.running = max(0, self.view.running - 1)
+        if self.forwarder is not None:
+            self.forwarder.forwards_running -= 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,6 +130,14 @@
     may_have_run: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """An attempt that this instance passes on for a peer, and when it is given up."""
+
+    forwarded: models.ForwardedAttempt
+    due_ms: float
+
+
 @dataclasses.dataclass(slots=True)
 class Lifecycle:
     """Progress of the planned stop; ``stop_requested_ms`` is infinite until a stop is requested."""
@@ -147,6 +175,10 @@
         Usual time of each route at a server without a queue.
     pending, attempts
         Requests without a final response, and attempts under way, by number.
+    forwards
+        Attempts under way for peers, by number.
+    links
+        Links of this instance to the backend servers.
     target_credits
         Credits of the services of each route with several targets (weighted round robin).
     is_store_follower
@@ -185,6 +217,8 @@
     rollouts: rollout_state.Rollouts = dataclasses.field(default_factory=rollout_state.Rollouts)
     pending: dict[int, PendingRequest] = dataclasses.field(default_factory=dict)
     attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    forwards: dict[int, Forward] = dataclasses.field(default_factory=dict)
+    links: server_links.ServerLinks = dataclasses.field(default_factory=server_links.ServerLinks)
     target_credits: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
     lifecycle: Lifecycle = dataclasses.field(default_factory=Lifecycle)
     last_attempt_number: int = 0
--- a/rhubarbspar/platform/records.py
+++ b/rhubarbspar/platform/records.py
@@ -131,8 +131,14 @@
 
 
 def _decode_member(_key: str, document: Document, _revision: int) -> models.Member:
+    defaults = {
+        field.name: field.default
+        for field in dataclasses.fields(models.Member)
+        if field.default is not dataclasses.MISSING
+    }
     names = [field.name for field in dataclasses.fields(models.Member)]
-    return models.Member(**{name: _require_string(document[name]) for name in names})
+    found = {**defaults, **document}
+    return models.Member(**{name: _require_string(found[name]) for name in names})
 
 
 def _decode_configuration(_key: str, document: Document, _revision: int) -> models.Configuration:
--- a/rhubarbspar/platform/requests.py
+++ b/rhubarbspar/platform/requests.py
@@ -30,7 +30,7 @@
     path, _, _query = request.target.decode('latin-1').partition('?')
     return models.Request(
         request_number=number,
-        attempt_id=_header_text(request, const.HEADER_ATTEMPT_ID) or '',
+        attempt_id=read_attempt_id(request),
         method=request.method.decode('latin-1'),
         host=_host_without_port(_header_text(request, const.HEADER_HOST) or ''),
         path=path,
@@ -41,6 +41,11 @@
     )
 
 
+def read_attempt_id(request: messages.Request) -> str:
+    """Return the caller's identifier of its attempt, empty if the request has none."""
+    return _header_text(request, const.HEADER_ATTEMPT_ID) or ''
+
+
 def encode_attempt(request: messages.Request, attempt: effects.StartAttempt) -> messages.Request:
     """Return the request to send to a backend server.
 
--- a/tests/gateway/test_server_links.py
+++ b/tests/gateway/test_server_links.py
@@ -87,12 +87,14 @@
 
     async def scenario():
         await deployment.until_ready()
-        views = stranded.daemon._state.servers.views
+        state = stranded.daemon._state
+        views = state.servers.views.values()
         await deployment.loop.until(lambda: len(views) == len(SERVER_IDS))
+        # Reports that precede the first heartbeat of a peer do not reach it.
+        peers = state.fleet.peers.values()
+        await deployment.loop.until(lambda: any(peer.last_heartbeat_ms > 0 for peer in peers))
         await deployment.call('front', b'/stock/1')
-        await deployment.loop.until(
-            lambda: any(view.answered_elsewhere_ms > 0 for view in views.values())
-        )
+        await deployment.loop.until(lambda: any(view.answered_elsewhere_ms > 0 for view in views))
         reactor.mode = mode
         # Some requests fail before the instance notices that its links are lost.
         statuses = [await call_both() for _ in range(12)]
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -16,7 +16,7 @@
 # Soaks that run at the same time use different loopback addresses, so that they never take each other's ports.
 HOST = f'127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.1'
 _ROOT = pathlib.Path(__file__).parents[2]
-_NAMES = ('caller', 'directory', 'metrics', 'peer', 'readiness')
+_NAMES = ('caller', 'directory', 'forward', 'metrics', 'peer', 'readiness')
 
 
 class Instance:
