--- a/rhubarbspar/gateway/forwards.py
+++ b/rhubarbspar/gateway/forwards.py
@@ -4,8 +4,6 @@
 may get requests, and passes the attempt on itself or not at all.
 """
 
-import dataclasses
-
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
@@ -19,7 +17,7 @@
     state: gateway_state.State, forwarded: models.ForwardedAttempt, now_ms: float
 ) -> list[core_effects.Effect]:
     """Pass an attempt of a peer on to its server, or return it as not sent."""
-    refusal = _find_refusal(state, forwarded, now_ms)
+    refusal = _find_refusal(state, forwarded)
     if refusal is not None:
         return _refuse(forwarded, refusal)
     server = state.servers.views[forwarded.server_id].server
@@ -75,11 +73,10 @@
 
 
 def _find_refusal(
-    state: gateway_state.State, forwarded: models.ForwardedAttempt, now_ms: float
+    state: gateway_state.State, forwarded: models.ForwardedAttempt
 ) -> events.AttemptResult | None:
     """Return the result of an attempt that is not passed on, or ``None``."""
-    stopping_ms = now_ms - state.lifecycle.stop_requested_ms
-    if not state.links.are_up or stopping_ms > const.STOP_REFUSE_AFTER_MS:
+    if state.is_stopping or not state.links.are_up:
         return events.AttemptResult.NOT_FORWARDED
     view = state.servers.views.get(forwarded.server_id)
     if view is None or not state.declared.may_get_requests(view.server):
@@ -101,6 +98,5 @@
 def _log(
     forwarded: models.ForwardedAttempt, event_name: str, fields: core_effects.LogFields
 ) -> core_effects.Log:
-    names = dataclasses.asdict(forwarded)
-    log_fields = (('request', names['attempt_id']), ('server', names['server_id']), *fields)
-    return core_effects.Log(event_name, log_fields)
+    subject = (('request', forwarded.attempt_id), ('server', forwarded.server_id))
+    return core_effects.Log(event_name, (*subject, *fields))
