Take back a crash whose server is heard again

Callers of a harmless request could be refused by the whole fleet for a minute: when the links of one instance are reset, its attempts break and their servers become unreachable, which it took for crashes and told to all peers.

A server that has answered any instance since its assumed crash has not crashed, so such a crash no longer counts when a request is judged. The new test in test_crashes.py failed before (refused) and passes now.

--- a/rhubarbspar/gateway/admission.py
+++ b/rhubarbspar/gateway/admission.py
@@ -93,7 +93,8 @@
 ) -> Admitted | Refusal:
     """Refuse a request that has crashed servers, or whose account is over its rate limit."""
     account = admitted.account
-    if state.crashes.is_poison_request(crash_fingerprint(request, account), now_ms):
+    fingerprint = crash_fingerprint(request, account)
+    if state.crashes.is_poison_request(fingerprint, now_ms, state.servers.last_heard_ms):
         return Refusal(const.STATUS_UNAVAILABLE, package_const.REASON_CRASHES_SERVERS)
     if account is None:
         return admitted
--- a/rhubarbspar/gateway/crashes.py
+++ b/rhubarbspar/gateway/crashes.py
@@ -1,11 +1,14 @@
 """Detection of requests that crash the backend servers that run them.
 
 Pattern: poison message detection. A server has crashed if it breaks the connection of a request and
-is unreachable shortly afterwards. A request that was running at two crashed servers is refused.
+is unreachable shortly afterwards. To the instance that sees this, lost links look the same, so a
+server that is heard again has not crashed. A request that was running at two crashed servers is
+refused.
 """
 
 import dataclasses
 import typing
+from collections import abc
 
 # A request that was running at this many crashed servers is refused.
 CRASHED_SERVERS_MIN: typing.Final = 2
@@ -13,6 +16,9 @@
 CONFIRMATION_MS: typing.Final = 1500
 # The crashes of a request expire this long after the last one.
 CRASHES_KEPT_MS: typing.Final = 60_000
+# A server has not crashed if it is heard by more than this long after its assumed crash. Reports of
+# peers arrive late, so that an answer before the crash can seem to be one shortly after it.
+HEARD_MARGIN_MS: typing.Final = 500
 FINGERPRINTS_MAX: typing.Final = 2000
 
 
@@ -26,10 +32,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Crashes:
-    """The incarnations of servers that crashed while they ran a request."""
+    """The incarnations of servers that crashed while they ran a request, and when each did."""
 
     last_seen_ms: float
-    incarnations: set[str] = dataclasses.field(default_factory=set)
+    crashed_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,16 +84,29 @@
         """Record a crash that this instance or a peer has detected."""
         request_crashes = self.crashes.setdefault(fingerprint, _Crashes(now_ms))
         request_crashes.last_seen_ms = now_ms
-        request_crashes.incarnations.add(incarnation)
+        request_crashes.crashed_ms[incarnation] = now_ms
         while len(self.crashes) > FINGERPRINTS_MAX:
             self.crashes.pop(next(iter(self.crashes)))
 
-    def is_poison_request(self, fingerprint: str, now_ms: float) -> bool:
-        """Return whether a request has recently crashed enough servers to be refused."""
+    def is_poison_request(
+        self, fingerprint: str, now_ms: float, last_heard_ms: abc.Callable[[str], float]
+    ) -> bool:
+        """Return whether a request has recently crashed enough servers to be refused.
+
+        Parameters
+        ----------
+        last_heard_ms
+            Returns when an incarnation of a server has last answered any instance.
+        """
         request_crashes = self.crashes.get(fingerprint)
         if request_crashes is None:
             return False
         if now_ms - request_crashes.last_seen_ms > CRASHES_KEPT_MS:
             self.crashes.pop(fingerprint)
             return False
-        return len(request_crashes.incarnations) >= CRASHED_SERVERS_MIN
+        crashed = [
+            incarnation
+            for incarnation, crashed_ms in request_crashes.crashed_ms.items()
+            if last_heard_ms(incarnation) <= crashed_ms + HEARD_MARGIN_MS
+        ]
+        return len(crashed) >= CRASHED_SERVERS_MIN
--- a/rhubarbspar/gateway/models.py
+++ b/rhubarbspar/gateway/models.py
@@ -188,6 +188,11 @@
     started_unix_ms: int
     sequence: int
 
+    @property
+    def incarnation(self) -> str:
+        """Return the id of the server together with the start time of its process."""
+        return f'{self.server_id}.{self.started_unix_ms}'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutRequest:
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -293,14 +293,14 @@
     if pending is None:
         return
     fingerprint = admission.crash_fingerprint(pending.request, pending.account)
-    state.crashes.record_broken_attempt(fingerprint, _incarnation(attempt.view.server), now_ms)
+    state.crashes.record_broken_attempt(fingerprint, attempt.view.server.incarnation, now_ms)
 
 
 def _confirm_crash(
     state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float
 ) -> list[core_effects.Effect]:
     """Count recent broken connections of an unreachable server as crashes; inform the peers."""
-    incarnation = _incarnation(attempt.view.server)
+    incarnation = attempt.view.server.incarnation
     fingerprints = state.crashes.confirm_crash(incarnation, now_ms)
     outputs: list[core_effects.Effect] = []
     for fingerprint in fingerprints:
@@ -308,8 +308,3 @@
         fields = (('fingerprint', fingerprint), ('server', incarnation))
         outputs.append(core_effects.Log('crash_confirmed', fields))
     return outputs
-
-
-def _incarnation(server: models.BackendServer) -> str:
-    """Return the id of a server together with the start time of its process."""
-    return f'{server.server_id}.{server.started_unix_ms}'
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -293,6 +293,14 @@
         """Return the servers of a service."""
         return list(self.by_service.get(service_id, {}).values())
 
+    def last_heard_ms(self, incarnation: str) -> float:
+        """Return when an incarnation has last answered this or another instance."""
+        server_id, _, _ = incarnation.rpartition('.')
+        view = self.views.get(server_id)
+        if view is None or view.server.incarnation != incarnation:
+            return -math.inf
+        return max(view.last_answer_ms, view.answered_elsewhere_ms)
+
     def expired_ids(self, now_ms: float) -> list[str]:
         """Return the ids of the servers that have lapsed and did not register again in time."""
         self.lapsed_servers &= self.views.keys()
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -63,3 +63,20 @@
     broadcast = conftest.single_effect(outputs, core_effects.Multicast)
     assert broadcast.message.fingerprint == '/stock/1.workshop'
     assert broadcast.peer_ids == ('front-2',)
+
+
+def test_request_at_lost_links_is_not_refused_as_one_that_crashes_servers(gateway):
+    """Guards against requests refused everywhere because one instance has lost its links.
+
+    Its connections are reset and its servers become unreachable, as if they had crashed.
+    """
+    crashed = [crash(gateway, server_id) for server_id in ('stock-1', 'stock-2')]
+    assert crashed == [('/stock/1.workshop',)] * 2
+    assert conftest.single_effect(gateway.request(), effects.Refuse)
+    gateway.now_ms += 1000
+    member = models.Member('front-2', 'b', 'almaty-b', 'almaty', '', '')
+    gateway.declare('members/front-2', member)
+    loads = (messages.ServerLoad('stock-1', 1, 100),)
+    heartbeat = messages.Heartbeat('b', 0, True, False, loads=loads)
+    gateway.reduce(core_events.MessageReceived('front-2', heartbeat))
+    assert conftest.single_effect(gateway.request(), effects.StartAttempt)
