Leave connections that break with lost links out of canary results

An instance that loses its links breaks the attempts at every version, and each counted as a failure of that version over the whole fleet. While the links are suspected or lost, a broken connection counts neither way. The new test failed before.

--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -250,6 +250,9 @@
     pending = state.pending.get(attempt.request_number)
     if pending is None or ended.result not in MAY_HAVE_RUN:
         return _VersionResult(good=None, slow=False)
+    if ended.result == events.AttemptResult.BROKEN and not state.links.are_up:
+        # The connection may have failed with the links, whatever the version.
+        return _VersionResult(good=None, slow=False)
     answered = ended.result == events.AttemptResult.ANSWERED
     extra_ms = uncached_processing_ms(state, pending.route) * (rollouts.SLOW_FACTOR - 1)
     return _VersionResult(
--- a/tests/gateway/test_forwards.py
+++ b/tests/gateway/test_forwards.py
@@ -244,3 +244,16 @@
         assert not forward_protocol.is_valid_token(token, key, instance_id)
     empty = forward_protocol.make_token(b'', 'front-1')
     assert not forward_protocol.is_valid_token(empty, b'', 'front-1')
+
+
+def test_connections_that_break_with_the_links_say_nothing_of_a_version(stranded):
+    """Guards against a good version that is rolled back because one instance lost its links."""
+    stranded.add_server('new-1', version='v2', slots=99)
+    stranded.declare('rollout/stock', models.RolloutRequest('stock', 'v2', 14_000, 0))
+    stranded.advance(500)
+    started = [conftest.single_effect(stranded.request(), effects.StartAttempt) for _ in range(40)]
+    for attempt in started:
+        stranded.reduce(conftest.ended(attempt, BROKEN))
+    results = stranded.state.rollouts.report()
+    assert {use.version for use in results} == {'v1', 'v2'}
+    assert not any(use.bad for use in results)
