Take a response that names no request for a malformed one

Here a repetition that names the earlier request was skipped already. One without the header was taken for the response of the next request: the new case of test_repeated_refusal_is_not_taken_for_the_next_response failed (503 relayed). Servers repeat the id of every request that has one, so a response without it now ends the attempt as one that may have run. Results that peers return for forwarded attempts name their request as well.

A head that ends early was found to be no fault here: at every length, on new and kept connections, the attempt ends as broken (test_response_that_ends_within_its_head_is_broken passed before).

--- a/rhubarbspar/gateway/forward_protocol.py
+++ b/rhubarbspar/gateway/forward_protocol.py
@@ -88,9 +88,20 @@
     return messages.Response(response.status, headers, response.body)
 
 
-def encode_result(attempt_result: events.AttemptResult) -> messages.Response:
-    """Return the response for the peer that names the result of an attempt."""
-    return messages.Response(_STATUS_RESULT, ((HEADER_RESULT, attempt_result.value.encode()),))
+def encode_result(
+    attempt_result: events.AttemptResult, echo: messages.Header | None
+) -> messages.Response:
+    """Return the response for the peer that names the result of an attempt.
+
+    Parameters
+    ----------
+    echo
+        Header by which the response names its request.
+    """
+    headers = [(HEADER_RESULT, attempt_result.value.encode())]
+    if echo is not None:
+        headers.append(echo)
+    return messages.Response(_STATUS_RESULT, tuple(headers))
 
 
 def decode_result(response: messages.Response) -> events.AttemptResult | None:
--- a/rhubarbspar/gateway/peer_forwards.py
+++ b/rhubarbspar/gateway/peer_forwards.py
@@ -43,7 +43,7 @@
             envelope.token, self.fleet_key, self._instance_id
         ):
             not_forwarded = events.AttemptResult.NOT_FORWARDED
-            exchange.respond(forward_protocol.encode_result(not_forwarded))
+            _respond_result(exchange, not_forwarded)
             return
         self._last_number += 1
         number = self._last_number
@@ -73,10 +73,15 @@
         if exchange is None:
             return
         if response is None:
-            exchange.respond(forward_protocol.encode_result(attempt_result))
+            _respond_result(exchange, attempt_result)
         else:
             exchange.respond(forward_protocol.encode_response(response))
 
     def _abandon(self, number: int) -> None:
         if self._exchanges.pop(number, None) is not None:
             self._deliver(events.ForwardAbandoned(number))
+
+
+def _respond_result(exchange: server.Exchange, attempt_result: events.AttemptResult) -> None:
+    echo = requests.response_id_header(exchange.request)
+    exchange.respond(forward_protocol.encode_result(attempt_result, echo))
--- a/rhubarbspar/http1/client.py
+++ b/rhubarbspar/http1/client.py
@@ -38,8 +38,9 @@
     finish
         Receives the response or an error.
     expected_echo
-        Header that the response must repeat with this value; a response with another value
-        belongs to an earlier request and is skipped.
+        Header that the response must repeat with this value. A response with another value belongs
+        to an earlier request and is skipped. One without the header may belong to any request, so
+        it ends the call as malformed.
     """
 
     def __init__(
@@ -242,7 +243,11 @@
             self.abort()
             return
         partial = self._partial
-        if not _echoes(partial.headers, call.expected_echo):
+        found_echo = _find_echo(partial.headers, call.expected_echo)
+        if call.expected_echo is not None and found_echo is None:
+            self._fail(errors.MalformedError('the response names no request'))
+            return
+        if found_echo != call.expected_echo:
             self._partial = _PartialResponse()
             if self._closed:
                 self._fail(errors.BrokenError('the response belongs to another request'))
@@ -314,8 +319,11 @@
     body: bytearray = dataclasses.field(default_factory=bytearray)
 
 
-def _echoes(headers: list[messages.Header], expected: messages.Header | None) -> bool:
+def _find_echo(
+    headers: list[messages.Header], expected: messages.Header | None
+) -> messages.Header | None:
+    """Return the header by which a response names its request, if the request has one."""
     if expected is None:
-        return True
+        return None
     found = messages.find_header(headers, expected[0])
-    return found is None or found == expected[1]
+    return None if found is None else (expected[0], found)
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -147,3 +147,40 @@
     assert opened.connections[0].transport.aborted
     opened.lose(error.ConnectionAborted())
     assert not opened.outcomes
+
+
+REFUSAL = b'HTTP/1.1 503 Busy\r\n%bX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
+
+
+@pytest.mark.parametrize('echo', [b'X-Id: 1\r\n', b''])
+def test_repeated_refusal_is_not_taken_for_the_next_response(opened, echo):
+    """Guards against "not run" for a request that runs: a server repeats an earlier refusal.
+
+    The repetition names the earlier request, or none.
+    """
+    opened.start(ECHO)
+    opened.connections[0].dataReceived(REFUSAL % b'X-Id: 1\r\n')
+    assert opened.start((b'x-id', b'2')).reused
+    opened.connections[0].dataReceived(REFUSAL % echo)
+    assert not [out for out in opened.outcomes[1:] if isinstance(out, messages.Response)]
+    opened.connections[0].dataReceived(b'HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 0\r\n\r\n')
+    responses = [out for out in opened.outcomes[1:] if isinstance(out, messages.Response)]
+    assert all(response.status == 200 for response in responses)
+
+
+HEAD = b'HTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Seal: 1\r\nContent-Length: 12\r\n\r\n'
+
+
+@pytest.mark.parametrize('is_reused', [True, False])
+def test_response_that_ends_within_its_head_is_broken(opened, is_reused):
+    """Guards against an empty or short success: a server stops within the head and closes."""
+    for size in range(len(HEAD)):
+        if is_reused:
+            opened.start(ECHO)
+            opened.connections[-1].dataReceived(
+                b'HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\na'
+            )
+        assert opened.start((b'x-id', b'2')).reused == is_reused
+        opened.connections[-1].dataReceived(HEAD[:size])
+        opened.lose(error.ConnectionDone())
+        assert isinstance(opened.outcomes[-1], errors.BrokenError)
