Refuse what a planned stop would cut, and answer what it cuts

Reported from elsewhere: requests that came late in a planned stop were taken and passed on, and cut without an answer at the end of the grace period. Here requests were taken for 2.9 s after SIGTERM whatever time they needed, and those that were pending at the end got no answer.

An attempt is only started if the time left is a multiple of its expected time; otherwise the request is refused as not run, for another instance. What is still pending at the end is answered with 502. Both tests failed before.

--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -28,6 +28,10 @@
 STALLED_BASE_MS: typing.Final = 100
 # A retry is only worth its load if this share of the processing time fits into the remaining time.
 RETRY_PROCESSING_SHARE: typing.Final = 0.6
+# In a planned stop, an attempt is only started if this many times its expected time is left. The
+# caller can send an idempotent request again, so it may be cut off more often.
+STOP_TIME_FACTOR: typing.Final = 2.0
+STOP_TIME_FACTOR_IDEMPOTENT: typing.Final = 1.2
 
 # Results after which nothing was sent to a server.
 _NOT_SENT: typing.Final = frozenset(
@@ -88,6 +92,19 @@
     return outputs + _retry_or_respond(state, pending, attempt, ended, now_ms)
 
 
+def end_pending(state: gateway_state.State) -> list[core_effects.Effect]:
+    """Answer the requests that a planned stop does not wait for any longer."""
+    outputs: list[core_effects.Effect] = []
+    for pending in tuple(state.pending.values()):
+        outputs.extend(_cancel_current(state, pending))
+        state.pending.pop(pending.request.request_number)
+        status = const.STATUS_BAD_GATEWAY
+        outputs.extend(
+            responses.refuse(state, pending.request, status, package_const.REASON_OUTCOME_UNKNOWN)
+        )
+    return outputs
+
+
 def check_deadlines(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Refuse requests past their deadline, and retry those whose server is unresponsive."""
     outputs: list[core_effects.Effect] = []
@@ -147,12 +164,40 @@
     choice = placement.choose_server(state, pending, now_ms)
     if choice is None:
         return _refuse_without_server(state, pending)
+    if _ends_after_stop(state, pending, choice, now_ms):
+        return _refuse_in_stop(state, pending)
     if placement.is_overloaded(pending, choice, now_ms):
         state.pending.pop(pending.request.request_number)
         return responses.refuse_not_run(state, pending, const.REASON_OVERLOADED)
     return _send(state, pending, choice, now_ms)
 
 
+def _ends_after_stop(
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    choice: selection.Choice,
+    now_ms: float,
+) -> bool:
+    """Return whether the end of a planned stop may cut an attempt off."""
+    factor = STOP_TIME_FACTOR_IDEMPOTENT if pending.route.idempotent else STOP_TIME_FACTOR
+    return state.stop_ends_ms - now_ms < factor * choice.expected_ms
+
+
+def _refuse_in_stop(
+    state: gateway_state.State, pending: gateway_state.PendingRequest
+) -> list[core_effects.Effect]:
+    """Refuse a request that another instance can serve in time."""
+    state.pending.pop(pending.request.request_number)
+    if pending.may_have_run:
+        status = const.STATUS_BAD_GATEWAY
+        return responses.refuse(
+            state, pending.request, status, package_const.REASON_OUTCOME_UNKNOWN
+        )
+    status = const.STATUS_UNAVAILABLE
+    retry_after_ms = admission.STOP_RETRY_AFTER_MS
+    return responses.refuse(state, pending.request, status, const.REASON_STOPPING, retry_after_ms)
+
+
 def _send(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
--- a/rhubarbspar/gateway/lifecycle.py
+++ b/rhubarbspar/gateway/lifecycle.py
@@ -1,11 +1,13 @@
 """Planned stop of the process within the operators' grace period.
 
 Pattern: graceful shutdown. The instance deregisters but serves on while callers learn of the stop,
-then accepts no more connections, finishes the pending requests and exits.
+then accepts no more connections, finishes the pending requests and exits. Requests that could not
+end by then are refused, so that another instance serves them.
 """
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
+from rhubarbspar.gateway import dispatch
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import gossip
 from rhubarbspar.gateway import state as gateway_state
@@ -34,9 +36,10 @@
     if not lifecycle.stopped_listening:
         lifecycle.stopped_listening = True
         outputs.append(effects.StopListening())
-    is_overdue = elapsed_ms >= state.bounds.stop_grace_ms - const.STOP_EXIT_MARGIN_MS
+    is_overdue = now_ms >= state.stop_ends_ms
     if is_overdue or not (state.pending or state.forwards):
         lifecycle.exited = True
         outputs.append(core_effects.Log('stopped', (('pending', len(state.pending)),)))
+        outputs.extend(dispatch.end_pending(state))
         outputs.append(effects.Exit())
     return outputs
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -7,6 +7,7 @@
 
 from rhubarbspar.gateway import affinity
 from rhubarbspar.gateway import budget as retry_budget
+from rhubarbspar.gateway import const
 from rhubarbspar.gateway import crashes as poison_requests
 from rhubarbspar.gateway import fleet as gateway_fleet
 from rhubarbspar.gateway import groups as server_groups
@@ -230,6 +231,12 @@
         """Return whether a stop was requested."""
         return self.lifecycle.stop_requested_ms != math.inf
 
+    @property
+    def stop_ends_ms(self) -> float:
+        """Return when the process exits at the latest; infinity until a stop is requested."""
+        grace_ms = self.bounds.stop_grace_ms - const.STOP_EXIT_MARGIN_MS
+        return self.lifecycle.stop_requested_ms + grace_ms
+
     @property
     def is_ready(self) -> bool:
         """Return whether look-ups and readiness checks offer this instance to callers."""
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -61,3 +61,30 @@
     """Guards against a second request to stop that restarts the sequence and delays the exit."""
     stop(gateway)
     assert not stop(gateway)
+
+
+def test_request_that_cannot_end_before_the_stop_is_refused(gateway):
+    """Guards against an order that is taken late in a planned stop and cut off by its end."""
+    slow = conftest.dataclasses.replace(
+        conftest.ORDERS, timeout_ms=20_000, latency_objective_ms=2500
+    )
+    gateway.configure(conftest.READS, slow, version=2)
+    stop(gateway)
+    gateway.advance(2000)
+    refused = conftest.single_effect(gateway.request('/orders/1'), effects.Refuse)
+    assert (refused.status, refused.reason) == (503, const.REASON_STOPPING)
+    assert refused.retry_after_ms
+    assert conftest.single_effect(gateway.request('/stock/1'), effects.StartAttempt)
+
+
+def test_requests_that_outlive_the_stop_are_answered(gateway):
+    """Guards against callers whose connection ends without an answer at the end of a stop."""
+    slow = conftest.dataclasses.replace(conftest.ORDERS, timeout_ms=20_000)
+    gateway.configure(conftest.READS, slow, version=2)
+    gateway.request('/orders/1', caller_timeout_ms=None)
+    stop(gateway)
+    outputs = gateway.advance(gateway.state.bounds.stop_grace_ms - 100)
+    assert conftest.single_effect(outputs, effects.Refuse).status == const.STATUS_BAD_GATEWAY
+    kinds = effect_types(outputs)
+    assert kinds.index(effects.Refuse) < kinds.index(effects.Exit)
+    assert not gateway.state.pending
