Tell peers of servers that answer without reporting their load

A server of a service that reports no load was never known to answer elsewhere, so lost links to such servers would never have been noticed. Every response now counts as a report; one without a load only shows that the server answers. The new test failed before.

--- a/rhubarbspar/gateway/load_reports.py
+++ b/rhubarbspar/gateway/load_reports.py
@@ -24,7 +24,8 @@
     Attributes
     ----------
     requests
-        Running and waiting requests; ``None`` if the server does not report them.
+        Running and waiting requests; ``None`` if the server does not report them, so that the
+        report only shows that it answers.
     limit_per_s
         Rate limit of the server for all instances; ``None`` if it named none.
     """
@@ -75,8 +76,10 @@
             if view is None:
                 continue
             reported = ReportedLoad(load.requests, now_ms - load.age_ms, load.limit_per_s)
+            is_heard_later = reported.reported_ms > view.last_heard_ms
             view.answered_elsewhere_ms = max(view.answered_elsewhere_ms, reported.reported_ms)
-            if view.record_load_elsewhere(reported.requests, reported.reported_ms):
+            is_newer_load = view.record_load_elsewhere(reported.requests, reported.reported_ms)
+            if is_newer_load or (reported.requests is None and is_heard_later):
                 pending[load.server_id] = reported
             if reported.reported_ms > view.limit_reported_ms:
                 view.limit_reported_ms = reported.reported_ms
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -221,11 +221,10 @@
         view.record_load_report(ended.load, now_ms)
         requests = ended.load.running + ended.load.waiting
     outputs: list[core_effects.Effect] = []
-    had_limit = view.limit is not None
     if ended.result in _FROM_THE_SERVER:
         view.limit_reported_ms = now_ms
         outputs = server_limits.record_limit(state, view, ended.limit_per_s, now_ms)
-    if requests is not None or had_limit or view.limit is not None:
+    if requests is not None or ended.result in _FROM_THE_SERVER:
         reported = load_reports.ReportedLoad(requests, now_ms, view.limit_per_s)
         state.load_reports.record(view.server.server_id, reported)
     return outputs
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -220,6 +220,11 @@
         if self.cold_share is not None:
             self.cold_share.record_sent(now_ms)
 
+    @property
+    def last_heard_ms(self) -> float:
+        """Return when the server has last answered this or another instance."""
+        return max(self.last_answer_ms, self.answered_elsewhere_ms)
+
     @property
     def limit_per_s(self) -> float | None:
         """Return the rate limit of the server for all instances, or ``None`` without one."""
@@ -299,7 +304,7 @@
         view = self.views.get(server_id)
         if view is None or view.server.incarnation != incarnation:
             return -math.inf
-        return max(view.last_answer_ms, view.answered_elsewhere_ms)
+        return view.last_heard_ms
 
     def expired_ids(self, now_ms: float) -> list[str]:
         """Return the ids of the servers that have lapsed and did not register again in time."""
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -236,3 +236,19 @@
     (log,) = [out for out in gateway.reduce(failed) if getattr(out, 'name', '') == 'attempt_failed']
     assert dict(log.fields)['heard_ms_ago'] is None
     assert dict(log.fields)['peers_heard_ms_ago'] == 50
+
+
+def test_peers_learn_that_a_server_without_load_reports_answers(gateway):
+    """Guards against links that are never found lost because servers report no load."""
+    gateway.declare('members/front-2', PEER)
+    gateway.reduce(core_events.PeerConnected('front-2', 'b'))
+    receive(gateway, heartbeat())
+    started = conftest.single_effect(gateway.request(), effects.StartAttempt)
+    server_id = started.server.server_id
+    gateway.reduce(conftest.ended(started, events.AttemptResult.ANSWERED, status=200))
+    sent = [out for out in gateway.advance(600) if isinstance(out, core_effects.Multicast)]
+    assert server_id in {load.server_id for out in sent for load in out.message.loads}
+    gateway.now_ms += 5000
+    receive(gateway, heartbeat(loads=(messages.ServerLoad('stock-2', None, 100),)))
+    view = gateway.state.servers.views['stock-2']
+    assert view.answered_elsewhere_ms == gateway.now_ms - 100
