Keep a lapsed server that any instance has heard lately

After an outage of the store, each instance kept a server whose registration had lapsed only if the server had answered this instance in the last 5 s. One that had lost its links, or had not used the server, dropped live servers while the others kept them. Answers to peers count as well now. The new test failed before.

--- a/rhubarbspar/gateway/store_records.py
+++ b/rhubarbspar/gateway/store_records.py
@@ -172,13 +172,14 @@
     """Remove a server whose registration was deleted.
 
     Shortly after a store outage, the lease may have lapsed although the server is alive. A server
-    that answered recently and is not draining then stays in use until the grace period ends.
+    that answered any instance recently and is not draining then stays in use until the grace period
+    ends.
     """
     view = state.servers.views.get(server_id)
     if view is None:
         return []
     grace_until_ms = state.replica.registration_grace_until_ms
-    is_alive = now_ms - view.last_answer_ms < servers.RECENT_ANSWER_MS
+    is_alive = now_ms - view.last_heard_ms < servers.RECENT_ANSWER_MS
     if now_ms < grace_until_ms and is_alive and not view.server.draining:
         state.servers.mark_lapsed(server_id, grace_until_ms + servers.LAPSE_MARGIN_MS)
         return [core_effects.Log('server_lapsed', (('server', server_id),))]
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -78,6 +78,17 @@
     assert server_id not in gateway.state.servers.views
 
 
+def test_lapsed_registration_is_used_if_another_instance_hears_the_server(gateway):
+    """Guards against live servers dropped by an instance that has not used them lately itself."""
+    gateway.reduce(events.StoreLost('timeout'))
+    gateway.state.servers.views['stock-1'].answered_elsewhere_ms = gateway.now_ms
+    gateway.reduce(events.StoreChanged((), gateway.revision))
+    gateway.declare('servers/stock-1', None)
+    assert 'stock-1' in gateway.state.servers.views
+    gateway.advance(2300)
+    assert 'stock-1' not in gateway.state.servers.views
+
+
 def test_removed_registration_takes_effect_at_once_without_a_store_outage(gateway):
     """Guards against requests to a server that has left without draining."""
     started = conftest.single_effect(gateway.request(), effects.StartAttempt)
