--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -96,12 +96,9 @@
     """Answer the requests that a planned stop does not wait for any longer."""
     outputs: list[core_effects.Effect] = []
     for pending in tuple(state.pending.values()):
+        pending.may_have_run = pending.may_have_run or pending.current_attempt is not None
         outputs.extend(_cancel_current(state, pending))
-        state.pending.pop(pending.request.request_number)
-        status = const.STATUS_BAD_GATEWAY
-        outputs.extend(
-            responses.refuse(state, pending.request, status, package_const.REASON_OUTCOME_UNKNOWN)
-        )
+        outputs.extend(_refuse(state, pending, const.REASON_STOPPING))
     return outputs
 
 
@@ -163,12 +160,12 @@
     """Choose a server and start an attempt there, or refuse the request."""
     choice = placement.choose_server(state, pending, now_ms)
     if choice is None:
-        return _refuse_without_server(state, pending)
+        return _refuse(state, pending, package_const.REASON_NO_SERVER)
     if _ends_after_stop(state, pending, choice, now_ms):
-        return _refuse_in_stop(state, pending)
+        # Another instance can serve it in time.
+        return _refuse(state, pending, const.REASON_STOPPING, admission.STOP_RETRY_AFTER_MS)
     if placement.is_overloaded(pending, choice, now_ms):
-        state.pending.pop(pending.request.request_number)
-        return responses.refuse_not_run(state, pending, const.REASON_OVERLOADED)
+        return _refuse(state, pending, const.REASON_OVERLOADED)
     return _send(state, pending, choice, now_ms)
 
 
@@ -183,21 +180,6 @@
     return state.stop_ends_ms - now_ms < factor * choice.expected_ms
 
 
-def _refuse_in_stop(
-    state: gateway_state.State, pending: gateway_state.PendingRequest
-) -> list[core_effects.Effect]:
-    """Refuse a request that another instance can serve in time."""
-    state.pending.pop(pending.request.request_number)
-    if pending.may_have_run:
-        status = const.STATUS_BAD_GATEWAY
-        return responses.refuse(
-            state, pending.request, status, package_const.REASON_OUTCOME_UNKNOWN
-        )
-    status = const.STATUS_UNAVAILABLE
-    retry_after_ms = admission.STOP_RETRY_AFTER_MS
-    return responses.refuse(state, pending.request, status, const.REASON_STOPPING, retry_after_ms)
-
-
 def _send(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
@@ -299,15 +281,10 @@
     if _may_retry(state, pending, ended, now_ms):
         outputs.append(core_effects.Count(package_const.METRIC_RETRIES, ended.result.value))
         return outputs + _start_attempt(state, pending, now_ms)
-    state.pending.pop(number)
     if ended.result == events.AttemptResult.ANSWERED:
+        state.pending.pop(number)
         return outputs + responses.relay(pending, attempt, ended, now_ms)
-    if pending.may_have_run:
-        status = const.STATUS_BAD_GATEWAY
-        return outputs + responses.refuse(
-            state, pending.request, status, package_const.REASON_OUTCOME_UNKNOWN
-        )
-    return outputs + responses.refuse_not_run(state, pending, const.REASON_SERVERS_FULL)
+    return outputs + _refuse(state, pending, const.REASON_SERVERS_FULL)
 
 
 def _may_retry(
@@ -336,17 +313,15 @@
     return state.budget.try_acquire(pending.service_id, state.fleet.registered_count, now_ms)
 
 
-def _refuse_without_server(
-    state: gateway_state.State, pending: gateway_state.PendingRequest
+def _refuse(
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    reason: str,
+    retry_after_ms: float | None = None,
 ) -> list[core_effects.Effect]:
-    """Refuse a request for which no server is left; the status says whether it may have run."""
+    """Refuse a pending request for which no attempt is under way."""
     state.pending.pop(pending.request.request_number)
-    if pending.may_have_run:
-        status = const.STATUS_BAD_GATEWAY
-        return responses.refuse(
-            state, pending.request, status, package_const.REASON_OUTCOME_UNKNOWN
-        )
-    return responses.refuse_not_run(state, pending, package_const.REASON_NO_SERVER)
+    return responses.refuse_unserved(state, pending, reason, retry_after_ms)
 
 
 def _cancel_current(
--- a/rhubarbspar/gateway/responses.py
+++ b/rhubarbspar/gateway/responses.py
@@ -42,12 +42,27 @@
     ]
 
 
-def refuse_not_run(
-    state: gateway_state.State, pending: gateway_state.PendingRequest, reason: str
+def refuse_unserved(
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    reason: str,
+    retry_after_ms: float | None = None,
 ) -> list[core_effects.Effect]:
-    """Refuse a request that has not run, with the time after which a free slot is expected."""
-    processing_ms = outcomes.uncached_processing_ms(state, pending.route)
-    retry_after_ms = max(RETRY_AFTER_MIN_MS, processing_ms * RETRY_AFTER_SHARE)
+    """Refuse a request without a response of a server; the status says whether it may have run.
+
+    Parameters
+    ----------
+    reason
+        Reason of a refusal that says that the request has not run.
+    retry_after_ms
+        Time after which the caller may retry then; by default, when a free slot is expected.
+    """
+    if pending.may_have_run:
+        status = const.STATUS_BAD_GATEWAY
+        return refuse(state, pending.request, status, package_const.REASON_OUTCOME_UNKNOWN)
+    if retry_after_ms is None:
+        processing_ms = outcomes.uncached_processing_ms(state, pending.route)
+        retry_after_ms = max(RETRY_AFTER_MIN_MS, processing_ms * RETRY_AFTER_SHARE)
     status = const.STATUS_UNAVAILABLE
     return refuse(state, pending.request, status, reason, retry_after_ms)
 
