--- a/rhubarbspar/gateway/log_stream.py
+++ b/rhubarbspar/gateway/log_stream.py
@@ -16,7 +16,9 @@
 # Lines are buffered up to this size while the reader stalls; further lines are dropped.
 BUFFER_MAX_BYTES: typing.Final = 262_144
 
-ROUTINE_EVENTS: typing.Final = frozenset(('attempt_started', 'request_answered'))
+ROUTINE_EVENTS: typing.Final = frozenset(
+    ('attempt_started', 'forward_ended', 'forward_started', 'request_answered')
+)
 
 
 @dataclasses.dataclass(slots=True)
