--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -18,6 +18,8 @@
 _ROOT = pathlib.Path(__file__).parents[2]
 _NAMES = ('caller', 'directory', 'forward', 'metrics', 'peer', 'readiness')
 
+_given_ports = set()
+
 
 class Instance:
     """One gateway process; it is started anew whenever it ends."""
@@ -156,11 +158,21 @@
 
 
 def _free_ports():
-    """Return a free port for each address; all are held until the last one is chosen."""
-    probes = [socket.socket() for _ in _NAMES]
-    for probe in probes:
-        probe.bind((HOST, 0))
-    ports = {name: probe.getsockname()[1] for name, probe in zip(_NAMES, probes, strict=True)}
+    """Return a free port for each address.
+
+    A port that another instance was given is not used again: its process may not listen yet.
+    """
+    probes = []
+    ports = {}
+    for name in _NAMES:
+        port = None
+        while port is None or port in _given_ports:
+            probe = socket.socket()
+            probe.bind((HOST, 0))
+            probes.append(probe)
+            port = probe.getsockname()[1]
+        _given_ports.add(port)
+        ports[name] = port
     for probe in probes:
         probe.close()
     return ports
