--- a/rhubarbspar/gateway/link_checks.py
+++ b/rhubarbspar/gateway/link_checks.py
@@ -33,8 +33,10 @@
     links.record_failure(server_id, now_ms)
     if not links.are_up:
         return []
+    if now_ms - links.probed_ms < RECHECK_INTERVAL_MS:
+        return []
     heard = _heard_elsewhere(state, now_ms)
-    if now_ms - links.probed_ms < RECHECK_INTERVAL_MS or not links.should_check(len(heard)):
+    if not links.should_check(len(heard)):
         return []
     links.status = server_links.LinkStatus.SUSPECTED
     return _probe(state, _one_for_each_domain(heard)[:PROBES_MAX], now_ms)
