--- a/review/2/case.py
+++ b/review/2/case.py
@@ -74,9 +74,7 @@
     await asyncio.sleep(5)
     stop, ended = asyncio.Event(), {}
     struck = deployment.gateways[0]
-    clients = [
-        asyncio.create_task(client(struck, deployment, ended, stop)) for _ in range(CLIENTS)
-    ]
+    clients = [asyncio.create_task(client(struck, deployment, ended, stop)) for _ in range(CLIENTS)]
     await asyncio.sleep(5)
     if standins.TROUBLE:
         spoil_one_answer(deployment.upstreams[0], record)
@@ -85,9 +83,7 @@
     await asyncio.gather(*clients)
     for gateway in deployment.gateways:
         record.say(f'{gateway.name} used {gateway.peak_mb:.0f} MB at most, exits {gateway.exits}')
-    ran = {
-        attempt_id for each in deployment.upstreams[1:] for _, attempt_id, _ in each.runs
-    }
+    ran = {attempt_id for each in deployment.upstreams[1:] for _, attempt_id, _ in each.runs}
     lost = [each for each, status in ended.items() if status == 0 and each in ran]
     record.say(f'{len(ended)} requests; {len(lost)}, passed on to sound upstreams, got no answer')
     return standins.BROKEN if len(lost) > 3 else standins.HELD
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,7 +18,10 @@
 
 
 def routes(service):
-    return [('r-1', '/lepu270/', 'safe', 'stockbook', '1000ms'), ('r-2', '/xapu221/', 'unsafe', service, '1200ms')]
+    return [
+        ('r-1', '/lepu270/', 'safe', 'stockbook', '1000ms'),
+        ('r-2', '/xapu221/', 'unsafe', service, '1200ms'),
+    ]
 
 
 async def client(gateway, deployment, sent, stop):
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,6 +18,8 @@
 KEY = 'tnfzs989anu6wsjnbanf'
 UPSTREAMS = 24
 ROUNDS = 8
+# No round begins later than this after the start.
+LAST_ROUND_S = 85.0
 # Upstreams that are taken away at a time.
 LEAVING = 2
 CLIENTS = 4
@@ -73,6 +75,9 @@
             asyncio.get_running_loop().call_later(SERVES_ON_S, leaving.close)
 
     for _ in range(ROUNDS):
+        if record.now() > LAST_ROUND_S:
+            # The processes start slowly here; the rounds so far have to do.
+            break
         left = len(remaining)
         if standins.TROUBLE:
             # The upstreams leave when the machine is back and begins to read the store.
@@ -93,7 +98,9 @@
         for _, attempt_id, _ in upstream.runs
         if sent[attempt_id] > removed[upstream.server_id] + standins.BOUNDS['drain']
     ]
-    record.say(f'{len(sent)} requests were sent to {len(calm)} machines, {len(removed)} upstreams left')
+    record.say(
+        f'{len(sent)} requests were sent to {len(calm)} machines, {len(removed)} upstreams left'
+    )
     for server_id in sorted({server_id for server_id, _ in late}):
         count = sum(each == server_id for each, _ in late)
         record.say(f'{server_id} got {count} requests that were sent over 2.5 s after it had left')
