Log the share of a new version and suspected crashes

Cause: the logs do not tell whether a bad version is found late because its results are missing or because its share grows too early, and nothing is logged of a crash before it is confirmed.

Change: rollout_share names each new share of a version with the results of the fleet behind it; crash_suspected names the request whose connection a server broke.

--- a/rhubarbspar/gateway/canary_analysis.py
+++ b/rhubarbspar/gateway/canary_analysis.py
@@ -53,12 +53,20 @@
         return self.good + self.bad
 
 
+@dataclasses.dataclass(slots=True)
+class FleetResults:
+    """Results of the candidate version, and of all other versions as the baseline."""
+
+    candidate: ResultCounts = dataclasses.field(default_factory=ResultCounts)
+    baseline: ResultCounts = dataclasses.field(default_factory=ResultCounts)
+
+
 def is_worse(uses: abc.Iterable[messages.VersionResults], version: str) -> bool:
     """Return whether a version is worse than the others, on one route or over all routes."""
-    by_route: dict[str, _Comparison] = {}
-    all_routes = _Comparison()
+    by_route: dict[str, FleetResults] = {}
+    all_routes = FleetResults()
     for use in uses:
-        comparison = by_route.setdefault(use.route_id, _Comparison())
+        comparison = by_route.setdefault(use.route_id, FleetResults())
         for updated in (comparison, all_routes):
             group = updated.candidate if use.version == version else updated.baseline
             group.add(use)
@@ -68,23 +76,15 @@
     )
 
 
-def total_counts(uses: abc.Iterable[messages.VersionResults], version: str) -> ResultCounts:
-    """Return the sum of the results of a version over all routes and instances."""
-    summed = ResultCounts()
+def sum_results(uses: abc.Iterable[messages.VersionResults], version: str) -> FleetResults:
+    """Return the sums of the results over all routes and instances."""
+    summed = FleetResults()
     for use in uses:
-        if use.version == version:
-            summed.add(use)
+        group = summed.candidate if use.version == version else summed.baseline
+        group.add(use)
     return summed
 
 
-@dataclasses.dataclass(slots=True)
-class _Comparison:
-    """Results of the candidate version, and of all other versions as the baseline."""
-
-    candidate: ResultCounts = dataclasses.field(default_factory=ResultCounts)
-    baseline: ResultCounts = dataclasses.field(default_factory=ResultCounts)
-
-
 def _fails_comparison(candidate: ResultCounts, baseline: ResultCounts) -> bool:
     """Return whether the candidate fails more often, or responds slowly more often."""
     bad = candidate.bad >= BAD_MIN and _exceeds(
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -17,6 +17,7 @@
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import quotas
+from rhubarbspar.gateway import rollouts
 from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_relay
@@ -116,6 +117,7 @@
     outputs.extend(
         _log_verdict(verdict, state.fleet.own_member.instance_id) for verdict in verdicts
     )
+    outputs.extend(_log_share(change) for change in state.rollouts.share_changes(now_ms))
     interval_ms = const.HEARTBEAT_INTERVAL_MS
     if state.quotas.is_urgent and not state.fleet.is_mesh:
         interval_ms = const.URGENT_HEARTBEAT_INTERVAL_MS
@@ -377,6 +379,26 @@
     return core_effects.Log('rollout_status', log_fields)
 
 
+def _log_share(change: rollouts.ShareChange) -> core_effects.Log:
+    candidate = change.fleet_results.candidate
+    baseline = change.fleet_results.baseline
+    log_fields = (
+        ('service', change.request.service_id),
+        ('version', change.request.version),
+        ('share', change.share),
+        ('sent', candidate.sent),
+        ('running', candidate.running),
+        ('good', candidate.good),
+        ('slow', candidate.slow),
+        ('bad', candidate.bad),
+        ('other_sent', baseline.sent),
+        ('other_good', baseline.good),
+        ('other_slow', baseline.slow),
+        ('other_bad', baseline.bad),
+    )
+    return core_effects.Log('rollout_share', log_fields)
+
+
 def _log_verdict(verdict: messages.RejectedVersion, instance_id: str) -> core_effects.Log:
     log_fields = (
         ('service', verdict.service_id),
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -205,7 +205,7 @@
         attempt.view.eject(now_ms)
         outputs.extend(_confirm_crash(state, attempt, now_ms))
     else:
-        _record_broken_attempt(state, attempt, now_ms)
+        outputs.extend(_record_broken_attempt(state, attempt, now_ms))
     return outputs + _note_link_failure(state, attempt, now_ms)
 
 
@@ -289,13 +289,20 @@
 
 def _record_broken_attempt(
     state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float
-) -> None:
+) -> list[core_effects.Effect]:
     """Record the broken connection; it is a crash if the server is soon found unreachable."""
     pending = state.pending.get(attempt.request_number)
     if pending is None:
-        return
+        return []
     fingerprint = admission.crash_fingerprint(pending.request, pending.account)
-    state.crashes.record_broken_attempt(fingerprint, attempt.view.server.incarnation, now_ms)
+    incarnation = attempt.view.server.incarnation
+    state.crashes.record_broken_attempt(fingerprint, incarnation, now_ms)
+    fields = (
+        ('request', pending.request.attempt_id),
+        ('fingerprint', fingerprint),
+        ('server', incarnation),
+    )
+    return [core_effects.Log('crash_suspected', fields)]
 
 
 def _confirm_crash(
--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -96,6 +96,8 @@
         Revisions of the same request before restores of the store.
     restored_ms
         When the request was last read from a restored store, or written there again.
+    reported_share
+        Share of the candidate that was last reported as a change.
     """
 
     request: models.RolloutRequest
@@ -106,6 +108,16 @@
     rejected: bool = False
     former_revisions: set[int] = dataclasses.field(default_factory=set)
     restored_ms: float = -math.inf
+    reported_share: float = -1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShareChange:
+    """A new share of a candidate at this instance, and the results of the fleet behind it."""
+
+    request: models.RolloutRequest
+    share: float
+    fleet_results: canary_analysis.FleetResults
 
 
 @dataclasses.dataclass(slots=True)
@@ -170,9 +182,9 @@
         elapsed_share = self._elapsed_share(rollout, now_ms)
         candidate_share = max(step.share for step in STEPS if step.elapsed_share <= elapsed_share)
         has_samples = (
-            canary_analysis.total_counts(
+            canary_analysis.sum_results(
                 self._fleet_results(rollout), rollout.request.version
-            ).ended
+            ).candidate.ended
             >= SAMPLES_MIN
         )
         if not has_samples and elapsed_share < UNPROVEN_SHARE:
@@ -299,6 +311,20 @@
                 found.append(verdict)
         return tuple(found)
 
+    def share_changes(self, now_ms: float) -> tuple[ShareChange, ...]:
+        """Return the shares that have changed since the last call."""
+        changes = []
+        for rollout in self.active.values():
+            share = 0 if rollout.rejected else self.candidate_share(rollout, now_ms)
+            if share == rollout.reported_share:
+                continue
+            rollout.reported_share = share
+            summed = canary_analysis.sum_results(
+                self._fleet_results(rollout), rollout.request.version
+            )
+            changes.append(ShareChange(rollout.request, share, summed))
+        return tuple(changes)
+
     def due_statuses(
         self, statuses: abc.Mapping[str, models.RolloutStatus], now_ms: float
     ) -> tuple[models.RolloutStatus, ...]:
