Count requests without a response in time as slow ones

Callers saw a slow version get all requests of its service: requests that ended at their deadline, were abandoned or were sent to another server had no result, so only the good responses of the version were known.

Cause: a version's results were counted when a response came. Change: an attempt counts as slow as soon as it is late, and when it is given up after enough time. Responses of a version on trial no longer change the usual times, nor does the slowdown of its servers. Results moved to version_evidence and version_results, processing times to a module of their own.

--- a/rhubarbspar/gateway/canary_analysis.py
+++ b/rhubarbspar/gateway/canary_analysis.py
@@ -29,8 +29,10 @@
     ----------
     running
         Requests in flight.
+    good
+        Responses without an error, and requests without a response in time.
     slow
-        Good responses that took much longer than expected.
+        Those of them that took much longer than usual.
     """
 
     sent: int = 0
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -15,10 +15,12 @@
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import outcomes
 from rhubarbspar.gateway import placement
+from rhubarbspar.gateway import processing_times
 from rhubarbspar.gateway import responses
 from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway import version_results
 
 # Servers to which one request may be sent, including those that did not run it. ``attempts_max`` of
 # a route only limits the attempts that may have run.
@@ -57,10 +59,11 @@
     state: gateway_state.State, number: int, now_ms: float
 ) -> list[core_effects.Effect]:
     """Cancel the attempt of a request whose caller has closed its connection."""
-    pending = state.pending.pop(number, None)
+    pending = state.pending.get(number)
     if pending is None:
         return []
-    outputs = _cancel_current(state, pending)
+    outputs = _cancel_current(state, pending, now_ms)
+    state.pending.pop(number)
     waited = (('waited_ms', round(now_ms - pending.arrived_ms)),)
     return [
         *outputs,
@@ -82,7 +85,7 @@
     pending.current_attempt = None
     if ended.result == events.AttemptResult.NOT_FORWARDED:
         pending.tried_server_ids.remove(attempt.view.server.server_id)
-    if ended.result in outcomes.MAY_HAVE_RUN:
+    if ended.result in version_results.MAY_HAVE_RUN:
         pending.run_count += 1
         pending.may_have_run = True
     if _is_final(ended):
@@ -92,18 +95,19 @@
     return outputs + _retry_or_respond(state, pending, attempt, ended, now_ms)
 
 
-def end_pending(state: gateway_state.State) -> list[core_effects.Effect]:
+def end_pending(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Answer the requests that a planned stop does not wait for any longer."""
     outputs: list[core_effects.Effect] = []
     for pending in tuple(state.pending.values()):
         pending.may_have_run = pending.may_have_run or pending.current_attempt is not None
-        outputs.extend(_cancel_current(state, pending))
+        outputs.extend(_cancel_current(state, pending, now_ms))
         outputs.extend(_refuse(state, pending, const.REASON_STOPPING))
     return outputs
 
 
 def check_deadlines(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Refuse requests past their deadline, and retry those whose server is unresponsive."""
+    version_results.count_late_attempts(state, now_ms)
     outputs: list[core_effects.Effect] = []
     for pending in tuple(state.pending.values()):
         if now_ms >= pending.due_ms:
@@ -218,6 +222,7 @@
         choice.view,
         now_ms,
         choice.expected_ms,
+        version_results.usual_ms(choice),
         choice.gain,
         choice.place,
         choice.load >= choice.view.slots,
@@ -298,12 +303,12 @@
     A request that may have run is only sent again on an idempotent route.
     """
     route = pending.route
-    if ended.result in outcomes.MAY_HAVE_RUN:
+    if ended.result in version_results.MAY_HAVE_RUN:
         if not route.idempotent or pending.run_count >= route.attempts_max:
             return False
     if pending.send_count >= SENDS_MAX:
         return False
-    if pending.due_ms - now_ms < RETRY_PROCESSING_SHARE * outcomes.uncached_processing_ms(
+    if pending.due_ms - now_ms < RETRY_PROCESSING_SHARE * processing_times.uncached_ms(
         state, route
     ):
         return False
@@ -325,16 +330,16 @@
 
 
 def _cancel_current(
-    state: gateway_state.State, pending: gateway_state.PendingRequest
+    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> list[core_effects.Effect]:
-    """Cancel the running attempt of a request; its result is not counted."""
+    """Cancel the running attempt of a request, which has got no response."""
     attempt = pending.current_attempt
     if attempt is None:
         return []
     pending.current_attempt = None
     state.attempts.pop(attempt.attempt_number, None)
     attempt.release()
-    state.rollouts.record_result(attempt.result_key, good=None, slow=False)
+    version_results.record_given_up(state, attempt, now_ms)
     return [effects.CancelAttempt(attempt.attempt_number)]
 
 
@@ -347,7 +352,7 @@
     outputs: list[core_effects.Effect] = []
     if attempt is not None:
         outputs.extend(outcomes.record_timeout(state, pending, attempt, now_ms))
-    outputs.extend(_cancel_current(state, pending))
+    outputs.extend(_cancel_current(state, pending, now_ms))
     state.pending.pop(number)
     status = const.STATUS_GATEWAY_TIMEOUT
     return outputs + responses.refuse(
@@ -387,7 +392,7 @@
     if not _may_retry(state, pending, broken, now_ms):
         return []
     outputs = outcomes.record_silence(state, attempt, now_ms)
-    outputs.extend(_cancel_current(state, pending))
+    outputs.extend(_cancel_current(state, pending, now_ms))
     pending.run_count += 1
     pending.may_have_run = True
     fields = (
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -195,11 +195,11 @@
     """Remove the sums of peers for which other peers speak now, and results of silent peers."""
     silent_ids = [
         peer_id
-        for peer_id in state.rollouts.peers
+        for peer_id in state.rollouts.evidence.peers
         if peer_id not in state.fleet.peers or not state.fleet.peers[peer_id].is_heard(now_ms)
     ]
     for peer_id in silent_ids:
-        state.rollouts.peers.pop(peer_id)
+        state.rollouts.evidence.peers.pop(peer_id)
     if state.fleet.is_relay and now_ms - state.fleet.relay_changed_ms > const.RELAY_CHANGE_MS:
         state.quotas.forget_peers_except(_summed_ids(state), now_ms)
 
@@ -229,7 +229,7 @@
         state.quotas.forget_peers_except({peer_id}, now_ms)
     elif not state.fleet.is_mesh:
         _forget_failed_relays(state, peer, heartbeat, now_ms)
-    state.rollouts.peers[peer_id] = heartbeat.versions
+    state.rollouts.evidence.peers[peer_id] = heartbeat.versions
     limit_news = state.load_reports.apply(
         heartbeat.loads, state.servers.views, now_ms, is_child=is_child
     )
@@ -350,7 +350,7 @@
         case fleet.Relation.NONE:
             return ()
         case fleet.Relation.CHILD:
-            return state.rollouts.report_with(state.rollouts.peers.keys() - {child_id})
+            return state.rollouts.report_with(state.rollouts.evidence.peers.keys() - {child_id})
         case _:
             return state.rollouts.report_with(state.fleet.related_peers(fleet.Relation.CHILD))
 
--- a/rhubarbspar/gateway/lifecycle.py
+++ b/rhubarbspar/gateway/lifecycle.py
@@ -40,6 +40,6 @@
     if is_overdue or not (state.pending or state.forwards):
         lifecycle.exited = True
         outputs.append(core_effects.Log('stopped', (('pending', len(state.pending)),)))
-        outputs.extend(dispatch.end_pending(state))
+        outputs.extend(dispatch.end_pending(state, now_ms))
         outputs.append(effects.Exit())
     return outputs
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -37,8 +37,10 @@
         Store revision of the rollout request.
     running
         Requests that have not ended.
+    good
+        Responses without an error, and requests without a response in time.
     slow
-        Good responses that took several times the usual time of the route.
+        Those of them that took several times the usual time of the route.
     """
 
     service_id: str
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -1,6 +1,5 @@
 """Updates of servers, routes, rollouts and crash detection by the results of attempts."""
 
-import dataclasses
 import typing
 
 from rhubarbspar.core import effects as core_effects
@@ -11,24 +10,11 @@
 from rhubarbspar.gateway import link_checks
 from rhubarbspar.gateway import load_reports
 from rhubarbspar.gateway import messages
-from rhubarbspar.gateway import models
-from rhubarbspar.gateway import rollouts
-from rhubarbspar.gateway import selection
+from rhubarbspar.gateway import processing_times
 from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
-
-# Processing time of a route before any response, as a multiple of its latency objective.
-DEFAULT_PROCESSING_FACTOR: typing.Final = 1.2
-
-# Results after which the backend server may have run the request.
-MAY_HAVE_RUN: typing.Final = frozenset(
-    (
-        events.AttemptResult.ANSWERED,
-        events.AttemptResult.BROKEN,
-        events.AttemptResult.MALFORMED,
-    )
-)
+from rhubarbspar.gateway import version_results
 
 # Results of a connection that could not be opened or has failed.
 _CONNECTION_FAILURES: typing.Final = frozenset(
@@ -45,37 +31,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _VersionResult:
-    """What the result of an attempt says about the version of the server.
-
-    Attributes
-    ----------
-    good
-        Whether the server answered without an error; ``None`` if the result says nothing about it.
-    slow
-        Whether the attempt took much longer than expected.
-    """
-
-    good: bool | None
-    slow: bool
-
-
-def uncached_processing_ms(state: gateway_state.State, route: models.Route) -> float:
-    """Return the processing time of a route at a server that does not have the object cached."""
-    return processing_time(state, route).uncached_ms
-
-
-def processing_time(state: gateway_state.State, route: models.Route) -> selection.ProcessingTime:
-    """Return the processing time of a route; before any response it follows from the objective."""
-    known = state.processing_times.get(route.route_id)
-    if known is None:
-        default_ms = route.latency_objective_ms * DEFAULT_PROCESSING_FACTOR
-        known = selection.ProcessingTime(default_ms, default_ms)
-        state.processing_times[route.route_id] = known
-    return known
-
-
 def record_result(
     state: gateway_state.State,
     attempt: gateway_state.Attempt,
@@ -91,10 +46,7 @@
     """
     view = attempt.view
     attempt.release()
-    version_result = _version_result(state, attempt, ended, now_ms)
-    state.rollouts.record_result(
-        attempt.result_key, good=version_result.good, slow=version_result.slow
-    )
+    version_results.record_end(state, attempt, ended, now_ms)
     outputs = _record_reports(state, view, ended, now_ms)
     if ended.connect_ms is not None and attempt.forwarder is None:
         state.network.record_connect_time(view.server.failure_domain, ended.connect_ms)
@@ -119,7 +71,7 @@
     elapsed_ms = now_ms - attempt.started_ms
     attempt.view.record_lateness(elapsed_ms, attempt.expected_ms)
     attempt.view.deadline_missed_ms = now_ms
-    if elapsed_ms < attempt.expected_ms + uncached_processing_ms(state, pending.route):
+    if elapsed_ms < attempt.expected_ms + processing_times.uncached_ms(state, pending.route):
         return []
     if attempt.view.last_answer_ms < attempt.started_ms:
         return record_silence(state, attempt, now_ms)
@@ -235,46 +187,22 @@
     attempt.view.record_lateness(now_ms - attempt.started_ms, attempt.expected_ms)
 
 
-def _version_result(
-    state: gateway_state.State,
-    attempt: gateway_state.Attempt,
-    ended: events.AttemptEnded,
-    now_ms: float,
-) -> _VersionResult:
-    """Return what the result of an attempt says about the version of its server.
-
-    An attempt is slow if it exceeds the expected time by more than the processing time of its
-    route, times ``rollouts.SLOW_FACTOR`` less 1.
-    """
-    pending = state.pending.get(attempt.request_number)
-    if pending is None or ended.result not in MAY_HAVE_RUN:
-        return _VersionResult(good=None, slow=False)
-    if ended.result == events.AttemptResult.BROKEN and not state.links.are_up:
-        # The connection may have failed with the links, whatever the version.
-        return _VersionResult(good=None, slow=False)
-    answered = ended.result == events.AttemptResult.ANSWERED
-    extra_ms = uncached_processing_ms(state, pending.route) * (rollouts.SLOW_FACTOR - 1)
-    return _VersionResult(
-        good=answered and ended.status < const.STATUS_SERVER_ERROR,
-        slow=now_ms - attempt.started_ms > attempt.expected_ms + extra_ms,
-    )
-
-
 def _record_processing_time(
     state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float
 ) -> None:
     """Update the processing time of the route and the slowdown of the server.
 
-    Only called for responses that did not wait in a queue.
+    Only called for responses that did not wait in a queue. A version on trial is measured by the
+    usual times, so it does not change them.
     """
     pending = state.pending.get(attempt.request_number)
-    if pending is None:
+    if pending is None or version_results.is_on_trial(state, attempt.view.server):
         return
     route = pending.route
     elapsed_ms = now_ms - attempt.started_ms
     round_trip_ms = state.network.round_trip_ms(attempt.view.server.failure_domain)
     processing_ms = max(1.0, elapsed_ms - round_trip_ms)
-    typical = processing_time(state, route)
+    typical = processing_times.of_route(state, route)
     attempt.view.record_slowdown(processing_ms / max(1.0, typical.uncached_ms * (1 - attempt.gain)))
     typical.record(processing_ms, attempt.place, attempt.gain)
 
--- a/rhubarbspar/gateway/placement.py
+++ b/rhubarbspar/gateway/placement.py
@@ -10,8 +10,8 @@
 
 from rhubarbspar.gateway import affinity
 from rhubarbspar.gateway import groups
-from rhubarbspar.gateway import outcomes
 from rhubarbspar.gateway import overload
+from rhubarbspar.gateway import processing_times
 from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
@@ -154,7 +154,7 @@
     gains: abc.Mapping[str, float],
     now_ms: float,
 ) -> selection.SelectionInputs:
-    processing = outcomes.processing_time(state, pending.route)
+    processing = processing_times.of_route(state, pending.route)
     return selection.SelectionInputs(
         now_ms,
         processing.uncached_ms,
@@ -177,7 +177,7 @@
     object_key = pending.request.object_key
     if object_key is None or not pending.route.sticky:
         return {}
-    learned = outcomes.processing_time(state, pending.route).gains
+    learned = processing_times.of_route(state, pending.route).gains
     places = group.preferred(object_key).items()
     expected = {
         server_id: _ExpectedGain(place, learned.expected_at(place)) for server_id, place in places
--- a/rhubarbspar/gateway/responses.py
+++ b/rhubarbspar/gateway/responses.py
@@ -10,7 +10,7 @@
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import outcomes
+from rhubarbspar.gateway import processing_times
 from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import state as gateway_state
 
@@ -61,7 +61,7 @@
         status = const.STATUS_BAD_GATEWAY
         return refuse(state, pending.request, status, package_const.REASON_OUTCOME_UNKNOWN)
     if retry_after_ms is None:
-        processing_ms = outcomes.uncached_processing_ms(state, pending.route)
+        processing_ms = processing_times.uncached_ms(state, pending.route)
         retry_after_ms = max(RETRY_AFTER_MIN_MS, processing_ms * RETRY_AFTER_SHARE)
     status = const.STATUS_UNAVAILABLE
     return refuse(state, pending.request, status, reason, retry_after_ms)
--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -17,7 +17,7 @@
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import revisions
 from rhubarbspar.gateway import store_replica
-from rhubarbspar.gateway import version_sums
+from rhubarbspar.gateway import version_evidence
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,9 +50,6 @@
 SAMPLES_MIN: typing.Final = 10
 # After this share of the duration, it grows even without that many results.
 UNPROVEN_SHARE: typing.Final = 0.6
-# A good response is slow if it takes about this many times the typical time: it exceeds the
-# expected time by the processing time of its route, times this factor less 1.
-SLOW_FACTOR: typing.Final = 3.5
 # Once the candidate gets all requests, the rollout completes when the old version has had none for
 # this long.
 OLD_VERSION_IDLE_MS: typing.Final = 700
@@ -62,22 +59,6 @@
 STATUS_INTERVAL_MS: typing.Final = 400
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ResultKey:
-    """Key of the results of a version: its service, the rollout request and the route.
-
-    Attributes
-    ----------
-    revision
-        Store revision of the rollout request.
-    """
-
-    service_id: str
-    version: str
-    revision: int
-    route_id: str
-
-
 @dataclasses.dataclass(slots=True)
 class Rollout:
     """A rollout request and its progress at this instance.
@@ -92,8 +73,6 @@
         When this instance last wrote the status.
     rejected
         Whether the candidate was found bad.
-    former_revisions
-        Revisions of the same request before restores of the store.
     restored_ms
         When the request was last read from a restored store, or written there again.
     reported_share
@@ -106,7 +85,6 @@
     old_version_sent_ms: float = -math.inf
     status_written_ms: float = -math.inf
     rejected: bool = False
-    former_revisions: set[int] = dataclasses.field(default_factory=set)
     restored_ms: float = -math.inf
     reported_share: float = -1
 
@@ -122,7 +100,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Rollouts:
-    """The rollouts by service, and the results of this instance and its peers.
+    """The rollouts by service, the results under them, and the verdicts.
 
     Attributes
     ----------
@@ -130,20 +108,17 @@
         Rollouts whose request exists in the store, by service id.
     stable_versions
         Version of each service that serves without a rollout.
-    local_counts
-        Results at this instance.
-    peers
-        Results that the peers report, by instance id.
+    evidence
+        Results of this instance and its peers.
     verdicts
         Versions that were found bad, with their rollout requests.
     """
 
     active: dict[str, Rollout] = dataclasses.field(default_factory=dict)
     stable_versions: dict[str, str] = dataclasses.field(default_factory=dict)
-    local_counts: dict[ResultKey, canary_analysis.ResultCounts] = dataclasses.field(
-        default_factory=dict
+    evidence: version_evidence.VersionEvidence = dataclasses.field(
+        default_factory=version_evidence.VersionEvidence
     )
-    peers: dict[str, tuple[messages.VersionResults, ...]] = dataclasses.field(default_factory=dict)
     verdicts: set[messages.RejectedVersion] = dataclasses.field(default_factory=set)
 
     def apply_request(self, request: models.RolloutRequest, now_ms: float) -> None:
@@ -235,68 +210,30 @@
         self.stable_versions[service_id] = chosen
         return chosen
 
-    def result_key(self, server: models.BackendServer, route_id: str) -> ResultKey | None:
+    def result_key(
+        self, server: models.BackendServer, route_id: str
+    ) -> version_evidence.ResultKey | None:
         """Return the key for results of a server, or ``None`` without a rollout of its service."""
         rollout = self.active.get(server.service_id)
         if rollout is None:
             return None
-        return ResultKey(server.service_id, server.version, rollout.request.revision, route_id)
+        return version_evidence.ResultKey(
+            server.service_id, server.version, rollout.request.revision, route_id
+        )
 
-    def record_sent(self, key: ResultKey | None, now_ms: float) -> None:
+    def record_sent(self, key: version_evidence.ResultKey | None, now_ms: float) -> None:
         """Count a request that was sent to a version."""
         if key is None:
             return
-        counts = self.local_counts.setdefault(key, canary_analysis.ResultCounts())
-        counts.sent += 1
-        counts.running += 1
+        self.evidence.record_sent(key)
         rollout = self.active.get(key.service_id)
         if rollout is not None and key.version != rollout.request.version:
             rollout.old_version_sent_ms = now_ms
 
-    def record_result(self, key: ResultKey | None, *, good: bool | None, slow: bool) -> None:
-        """Count the result of a request.
-
-        Parameters
-        ----------
-        good
-            ``None`` if the result says nothing about the version.
-        slow
-            Only counted for good results.
-        """
-        if key is None:
-            return
-        counts = self.local_counts.setdefault(
-            self._current_key(key), canary_analysis.ResultCounts()
-        )
-        counts.running -= 1
-        if good is None:
-            return
-        counts.good += good
-        counts.bad += not good
-        counts.slow += good and slow
-
-    def report(self) -> tuple[messages.VersionResults, ...]:
-        """Return the results of the active rollouts at this instance, for the heartbeat."""
-        return tuple(
-            messages.VersionResults(
-                key.service_id,
-                key.version,
-                key.revision,
-                counts.sent,
-                counts.running,
-                counts.good,
-                counts.bad,
-                counts.slow,
-                key.route_id,
-            )
-            for key, counts in self.local_counts.items()
-            if self._is_current(key)
-        )
-
     def report_with(self, peer_ids: abc.Iterable[str]) -> tuple[messages.VersionResults, ...]:
         """Return the sums of the results at this instance and of those that peers report."""
-        reports = [self.peers.get(peer_id, ()) for peer_id in peer_ids]
-        return version_sums.add_up([self.report(), *reports])
+        active = {rollout.request.revision for rollout in self.active.values()}
+        return self.evidence.report_with(peer_ids, active)
 
     def reject_bad_candidates(self) -> tuple[messages.RejectedVersion, ...]:
         """Reject the candidates whose results are worse; return the new verdicts."""
@@ -378,37 +315,16 @@
     ) -> None:
         """Continue a rollout under the revision that its request has in the restored store."""
         verdict = _verdict(rollout.request)
-        rollout.former_revisions.add(rollout.request.revision)
         rollout.request = request
         rollout.restored_ms = now_ms
         if verdict in self.verdicts:
             self.verdicts.add(_verdict(request))
-        self.local_counts = {
-            self._current_key(key): counts for key, counts in self.local_counts.items()
-        }
-
-    def _current_key(self, key: ResultKey) -> ResultKey:
-        """Return a key with the revision that the request of its rollout has now."""
-        rollout = self.active.get(key.service_id)
-        if rollout is None or key.revision not in rollout.former_revisions:
-            return key
-        return dataclasses.replace(key, revision=rollout.request.revision)
-
-    def _is_current(self, key: ResultKey) -> bool:
-        rollout = self.active.get(key.service_id)
-        return rollout is not None and rollout.request.revision == key.revision
+        former = verdict.revision
+        self.evidence.adopt_revision(request.service_id, former, request.revision)
 
     def _fleet_results(self, rollout: Rollout) -> list[messages.VersionResults]:
         """Return the results of all instances under the request of a rollout."""
-        uses = list(self.report())
-        for reported in self.peers.values():
-            uses.extend(reported)
-        request = rollout.request
-        return [
-            use
-            for use in uses
-            if use.service_id == request.service_id and use.revision == request.revision
-        ]
+        return self.evidence.of_request(rollout.request.service_id, rollout.request.revision)
 
 
 def _is_written_again(rollout: Rollout, request: models.RolloutRequest, now_ms: float) -> bool:
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -20,6 +20,7 @@
 from rhubarbspar.gateway import servers as server_views
 from rhubarbspar.gateway import store_replica
 from rhubarbspar.gateway import traffic_shifts
+from rhubarbspar.gateway import version_evidence
 
 Record: typing.TypeAlias = (
     models.Configuration
@@ -64,6 +65,8 @@
     ----------
     request_number, attempt_number
         Numbers of the request and of the attempt, each unique within the process.
+    usual_ms
+        Expected time if the server were as fast as others.
     gain
         Share of the processing time that the server was expected to save, because it has
         recently handled the object and so has it cached.
@@ -78,6 +81,8 @@
         Peer that passes the attempt on to the server; ``None`` if it is sent directly.
     is_running
         Whether the attempt counts as running at the server.
+    counted_late
+        Whether the results of its version include it as late already.
     """
 
     request_number: int
@@ -85,12 +90,14 @@
     view: server_views.ServerView
     started_ms: float
     expected_ms: float
+    usual_ms: float
     gain: float
     place: affinity.Place
     was_queued: bool
-    result_key: rollout_state.ResultKey | None
+    result_key: version_evidence.ResultKey | None
     forwarder: gateway_fleet.Peer | None = None
     is_running: bool = True
+    counted_late: bool = False
 
     def release(self) -> None:
         """Count the attempt as running no more, at its server and its forwarder."""
--- a/tests/gateway/test_outcomes.py
+++ b/tests/gateway/test_outcomes.py
@@ -3,13 +3,13 @@
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import outcomes
+from rhubarbspar.gateway import processing_times
 from tests.gateway import conftest
 
 
 def test_response_of_a_server_with_a_queue_does_not_change_the_processing_time(gateway):
     """Guards against a processing time that includes the queues of one region."""
-    initial_ms = outcomes.processing_time(gateway.state, conftest.READS).mean_ms
+    initial_ms = processing_times.of_route(gateway.state, conftest.READS).mean_ms
     for waiting in (2, 0):
         # After this time, the former load reports have no weight.
         gateway.now_ms += 10_000
@@ -18,7 +18,7 @@
         load = events.LoadReport(3, waiting, 3)
         answered = events.AttemptResult.ANSWERED
         gateway.reduce(conftest.ended(started, answered, status=200, load=load))
-        learned_ms = outcomes.processing_time(gateway.state, conftest.READS).mean_ms
+        learned_ms = processing_times.of_route(gateway.state, conftest.READS).mean_ms
         assert (learned_ms == initial_ms) == bool(waiting)
 
 
--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -13,6 +13,7 @@
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import revisions
 from tests.gateway import conftest
 from tests.gateway import fleet_network
 
@@ -120,6 +121,14 @@
     gateway.declare(f'rollout/{service_id}', request)
 
 
+def read_restored_store(gateway):
+    """Read the request of stock from a restored store; return the revision it had before."""
+    request = gateway.state.rollouts.active['stock'].request
+    restored = dataclasses.replace(request, revision=revisions.combine(1, 1))
+    gateway.state.rollouts.apply_request(restored, gateway.now_ms)
+    return request.revision
+
+
 def half(bad):
     """Return responses of which every second one is bad."""
     return lambda number: bad if number % 2 else (USUAL_MS, 200)
@@ -219,14 +228,12 @@
     """Guards against evidence that is lost where a restored store was read a little earlier."""
     start_rollout(gateway, 'stock')
     rollout = gateway.state.rollouts.active['stock']
-    former = rollout.request.revision
+    former = read_restored_store(gateway)
     versions = (
         results('v1', former, sent=200, good=200),
         results('v2', former, sent=10, good=5, bad=5),
     )
-    rollout.request = dataclasses.replace(rollout.request, revision=former + 1)
-    rollout.former_revisions.add(former)
-    gateway.state.rollouts.peers['front-2'] = versions
+    gateway.state.rollouts.evidence.peers['front-2'] = versions
     gateway.advance(TICK_MS)
     assert rollout.rejected
 
@@ -235,9 +242,7 @@
     """Guards against a rejected version that is used on where the restored store was read."""
     start_rollout(gateway, 'stock')
     rollout = gateway.state.rollouts.active['stock']
-    former = rollout.request.revision
-    rollout.request = dataclasses.replace(rollout.request, revision=former + 1)
-    rollout.former_revisions.add(former)
+    former = read_restored_store(gateway)
     gateway.state.rollouts.apply_verdict(messages.RejectedVersion('stock', 'v2', former))
     assert rollout.rejected
 
