Let a rollout go on only as far as its results reach

Callers saw a version without results get all requests of its service: after 60% of the time the share rose from 5% to 100%, whatever was known.

Cause: too few results did not hold a rollout back. Change: the schedule is a module of its own. Beyond 0.6 of the permitted exposure the share only follows the steps if ten responses were good and in time, no request under way is without such a response, and the results are not suspect. The permitted exposure comes from the settings.

--- a/rhubarbspar/gateway/canary_analysis.py
+++ b/rhubarbspar/gateway/canary_analysis.py
@@ -10,15 +10,32 @@
 
 from rhubarbspar.gateway import messages
 
-# A version is worse if its share of failures exceeds that of the baseline by this margin, and by
-# this many standard errors.
-BAD_MARGIN: typing.Final = 0.06
-STANDARD_ERRORS: typing.Final = 3.0
-# Fewer failures than this are no evidence.
-BAD_MIN: typing.Final = 4
-# The same limits for the share of slow responses among the good ones.
-SLOW_MARGIN: typing.Final = 0.3
-SLOW_MIN: typing.Final = 6
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """By how much the results of a version have to be worse than those of the baseline.
+
+    Attributes
+    ----------
+    bad_min, slow_min
+        Fewer failures, or slow responses, are no evidence.
+    bad_margin, slow_margin
+        By how much the share of failures, or of slow responses, exceeds that of the baseline.
+    standard_errors
+        By how many standard errors it does.
+    """
+
+    bad_min: int
+    bad_margin: float
+    slow_min: int
+    slow_margin: float
+    standard_errors: float
+
+
+# A version beyond these limits is rejected.
+VERDICT: typing.Final = Limits(4, 0.06, 6, 0.3, 3)  # noqa: WPS432 (the class names its fields)
+# A version beyond these waits for more results.
+SUSPICION: typing.Final = Limits(2, 0.03, 3, 0.15, 1)  # noqa: WPS432
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,6 +71,11 @@
         """Return the number of requests with a good or a bad result."""
         return self.good + self.bad
 
+    @property
+    def in_time(self) -> int:
+        """Return the number of responses without an error that were not slow."""
+        return self.good - self.slow
+
 
 @dataclasses.dataclass(slots=True)
 class FleetResults:
@@ -63,18 +85,36 @@
     baseline: ResultCounts = dataclasses.field(default_factory=ResultCounts)
 
 
-def is_worse(uses: abc.Iterable[messages.VersionResults], version: str) -> bool:
-    """Return whether a version is worse than the others, on one route or over all routes."""
-    by_route: dict[str, FleetResults] = {}
-    all_routes = FleetResults()
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evaluation:
+    """Results of a candidate version and what they show.
+
+    Attributes
+    ----------
+    summed
+        Sums over all routes and instances.
+    is_worse
+        Whether the version is to be rejected.
+    is_suspect
+        Whether it may be worse, on one route or over all routes.
+    """
+
+    summed: FleetResults
+    is_worse: bool
+    is_suspect: bool
+
+
+def evaluate(uses: abc.Sequence[messages.VersionResults], version: str) -> Evaluation:
+    """Compare a version with the others, on each route and over all routes."""
+    by_route: dict[str, list[messages.VersionResults]] = {}
     for use in uses:
-        comparison = by_route.setdefault(use.route_id, FleetResults())
-        for updated in (comparison, all_routes):
-            group = updated.candidate if use.version == version else updated.baseline
-            group.add(use)
-    comparisons = (all_routes, *by_route.values())
-    return any(
-        _fails_comparison(comparison.candidate, comparison.baseline) for comparison in comparisons
+        by_route.setdefault(use.route_id, []).append(use)
+    summed = sum_results(uses, version)
+    compared = [summed, *(sum_results(route_uses, version) for route_uses in by_route.values())]
+    return Evaluation(
+        summed,
+        any(_exceeds_limits(pair, VERDICT) for pair in compared),
+        any(_exceeds_limits(pair, SUSPICION) for pair in compared),
     )
 
 
@@ -87,24 +127,37 @@
     return summed
 
 
-def _fails_comparison(candidate: ResultCounts, baseline: ResultCounts) -> bool:
+def _exceeds_limits(pair: FleetResults, limits: Limits) -> bool:
     """Return whether the candidate fails more often, or responds slowly more often."""
-    bad = candidate.bad >= BAD_MIN and _exceeds(
-        candidate.bad, candidate.ended, baseline.bad, baseline.ended, BAD_MARGIN
+    candidate, baseline = pair.candidate, pair.baseline
+    failures = _Proportions(candidate.bad, candidate.ended, baseline.bad, baseline.ended)
+    slowness = _Proportions(candidate.slow, candidate.good, baseline.slow, baseline.good)
+    bad = candidate.bad >= limits.bad_min and failures.exceed(
+        limits.bad_margin, limits.standard_errors
     )
-    slow = candidate.slow >= SLOW_MIN and _exceeds(
-        candidate.slow, candidate.good, baseline.slow, baseline.good, SLOW_MARGIN
+    slow = candidate.slow >= limits.slow_min and slowness.exceed(
+        limits.slow_margin, limits.standard_errors
     )
     return bad or slow
 
 
-def _exceeds(hits: int, trials: int, base_hits: int, base_trials: int, margin: float) -> bool:
-    """Return whether a share significantly exceeds a base share, and by at least the margin.
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Proportions:
+    """How often something happened with the candidate and with the baseline."""
 
-    Pattern: pooled two-proportion z-test.
-    """
-    share = hits / max(1, trials)
-    base_share = base_hits / max(1, base_trials)
-    pooled = (hits + base_hits) / max(1, trials + base_trials)
-    variance = pooled * (1 - pooled) * (1 / max(1, trials) + 1 / max(1, base_trials))
-    return share - base_share > max(margin, STANDARD_ERRORS * math.sqrt(variance))
+    hits: int
+    trials: int
+    base_hits: int
+    base_trials: int
+
+    def exceed(self, margin: float, standard_errors: float) -> bool:
+        """Return whether the share significantly exceeds the base share, by at least the margin.
+
+        Pattern: pooled two-proportion z-test.
+        """
+        share = self.hits / max(1, self.trials)
+        base_share = self.base_hits / max(1, self.base_trials)
+        pooled = (self.hits + self.base_hits) / max(1, self.trials + self.base_trials)
+        inverse_sizes = 1 / max(1, self.trials) + 1 / max(1, self.base_trials)
+        variance = pooled * (1 - pooled) * inverse_sizes
+        return share - base_share > max(margin, standard_errors * math.sqrt(variance))
--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -130,6 +130,7 @@
         self._settings = settings
         self._state.bounds = gateway_state.Bounds(settings.bounds.stop_grace)
         self._state.budget.limits = initial_state.budget_limits(settings)
+        self._state.rollouts.exposure = initial_state.exposure_limits(settings)
         self._state.network.regions = settings.regions
         self._driver.report(core_effects.Log('settings_loaded'))
 
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -6,6 +6,8 @@
 from rhubarbspar.gateway import budget
 from rhubarbspar.gateway import fleet
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import rollout_schedule
+from rhubarbspar.gateway import rollouts
 from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import state as gateway_state
@@ -26,9 +28,16 @@
         network=selection.NetworkTopology(
             settings.failure_domain, settings.region, settings.regions
         ),
+        rollouts=rollouts.Rollouts(exposure=exposure_limits(settings)),
     )
 
 
+def exposure_limits(settings: gateway_settings.Settings) -> rollout_schedule.ExposureLimits:
+    """Return the requests that a bad version may get."""
+    bounds = settings.bounds
+    return rollout_schedule.ExposureLimits(bounds.exposure_ratio, bounds.exposure_allowance)
+
+
 def budget_limits(settings: gateway_settings.Settings) -> budget.BudgetLimits:
     """Return the limits of the retry budget."""
     bounds = settings.bounds
--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -16,45 +16,20 @@
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway import rollout_schedule
 from rhubarbspar.gateway import store_replica
 from rhubarbspar.gateway import version_evidence
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Step:
-    """A step of the schedule of a rollout.
-
-    Attributes
-    ----------
-    elapsed_share
-        Share of the requested duration after which the step begins.
-    share
-        Share of the requests that the candidate gets.
-    """
-
-    elapsed_share: float
-    share: float
-
-
-# The first step stays below the permitted exposure of a bad version. The later steps are short
-# enough that a version that fails under load is rejected before it has had its permitted share of
-# the requests.
-STEPS: typing.Final = (
-    Step(0, 0.05),  # noqa: WPS432 (the table names its columns)
-    Step(0.34, 0.15),  # noqa: WPS432
-    Step(0.42, 0.4),  # noqa: WPS432
-    Step(0.5, 0.75),  # noqa: WPS432
-    Step(0.58, 1),  # noqa: WPS432
-)
-# The share only grows beyond the first step after this many results of the candidate.
-SAMPLES_MIN: typing.Final = 10
-# After this share of the duration, it grows even without that many results.
-UNPROVEN_SHARE: typing.Final = 0.6
 # Once the candidate gets all requests, the rollout completes when the old version has had none for
 # this long.
 OLD_VERSION_IDLE_MS: typing.Final = 700
 # After this share of the duration, it completes even if the old version still has requests.
 COMPLETE_SHARE: typing.Final = 0.9
+# Interval at which the share of a candidate follows the results.
+EVALUATION_INTERVAL_MS: typing.Final = 50
+# Smaller changes of the share are not reported.
+SHARE_CHANGE_MIN: typing.Final = 0.05
 # A status that is not recorded yet is written again after this time.
 STATUS_INTERVAL_MS: typing.Final = 400
 
@@ -75,8 +50,10 @@
         Whether the candidate was found bad.
     restored_ms
         When the request was last read from a restored store, or written there again.
+    share, evaluated_ms
+        Share of the candidate by the results, and when these were last evaluated.
     reported_share
-        Share of the candidate that was last reported as a change.
+        Share that was last reported as a change.
     """
 
     request: models.RolloutRequest
@@ -86,6 +63,8 @@
     status_written_ms: float = -math.inf
     rejected: bool = False
     restored_ms: float = -math.inf
+    share: float = 0
+    evaluated_ms: float = -math.inf
     reported_share: float = -1
 
 
@@ -112,6 +91,8 @@
         Results of this instance and its peers.
     verdicts
         Versions that were found bad, with their rollout requests.
+    exposure
+        Requests that a bad version may get.
     """
 
     active: dict[str, Rollout] = dataclasses.field(default_factory=dict)
@@ -120,6 +101,9 @@
         default_factory=version_evidence.VersionEvidence
     )
     verdicts: set[messages.RejectedVersion] = dataclasses.field(default_factory=set)
+    exposure: rollout_schedule.ExposureLimits = dataclasses.field(
+        default_factory=rollout_schedule.ExposureLimits
+    )
 
     def apply_request(self, request: models.RolloutRequest, now_ms: float) -> None:
         """Start a rollout; the same request, also in a restored store, changes nothing."""
@@ -154,17 +138,15 @@
 
     def candidate_share(self, rollout: Rollout, now_ms: float) -> float:
         """Return the share of the requests that the candidate gets now."""
-        elapsed_share = self._elapsed_share(rollout, now_ms)
-        candidate_share = max(step.share for step in STEPS if step.elapsed_share <= elapsed_share)
-        has_samples = (
-            canary_analysis.sum_results(
-                self._fleet_results(rollout), rollout.request.version
-            ).candidate.ended
-            >= SAMPLES_MIN
-        )
-        if not has_samples and elapsed_share < UNPROVEN_SHARE:
-            return min(candidate_share, STEPS[0].share)
-        return candidate_share
+        if now_ms - rollout.evaluated_ms >= EVALUATION_INTERVAL_MS:
+            rollout.evaluated_ms = now_ms
+            rollout.share = rollout_schedule.candidate_share(
+                now_ms - rollout.started_ms,
+                rollout.request.duration_ms,
+                self._evaluate(rollout),
+                self.exposure,
+            )
+        return rollout.share
 
     def next_version(self, service_id: str, versions: abc.Mapping[str, int], now_ms: float) -> str:
         """Return the version for the next request, and count the request for the share.
@@ -242,9 +224,7 @@
             if rollout.rejected:
                 continue
             verdict = _verdict(rollout.request)
-            if canary_analysis.is_worse(
-                self._fleet_results(rollout), verdict.version
-            ) and self.apply_verdict(verdict):
+            if self._evaluate(rollout).is_worse and self.apply_verdict(verdict):
                 found.append(verdict)
         return tuple(found)
 
@@ -253,12 +233,10 @@
         changes = []
         for rollout in self.active.values():
             share = 0 if rollout.rejected else self.candidate_share(rollout, now_ms)
-            if share == rollout.reported_share:
+            if abs(share - rollout.reported_share) < SHARE_CHANGE_MIN:
                 continue
             rollout.reported_share = share
-            summed = canary_analysis.sum_results(
-                self._fleet_results(rollout), rollout.request.version
-            )
+            summed = self._evaluate(rollout).summed
             changes.append(ShareChange(rollout.request, share, summed))
         return tuple(changes)
 
@@ -297,8 +275,7 @@
         elapsed_share = self._elapsed_share(rollout, now_ms)
         if self.candidate_share(rollout, now_ms) < 1:
             return const.PHASE_RUNNING
-        uses = self._fleet_results(rollout)
-        old_running = sum(use.running for use in uses if use.version != rollout.request.version)
+        old_running = self._evaluate(rollout).summed.baseline.running
         idle = old_running <= 0 and now_ms - rollout.old_version_sent_ms > OLD_VERSION_IDLE_MS
         return (
             const.PHASE_COMPLETED
@@ -322,9 +299,11 @@
         former = verdict.revision
         self.evidence.adopt_revision(request.service_id, former, request.revision)
 
-    def _fleet_results(self, rollout: Rollout) -> list[messages.VersionResults]:
-        """Return the results of all instances under the request of a rollout."""
-        return self.evidence.of_request(rollout.request.service_id, rollout.request.revision)
+    def _evaluate(self, rollout: Rollout) -> canary_analysis.Evaluation:
+        """Return what the results of all instances show of the candidate."""
+        request = rollout.request
+        uses = self.evidence.of_request(request.service_id, request.revision)
+        return canary_analysis.evaluate(uses, request.version)
 
 
 def _is_written_again(rollout: Rollout, request: models.RolloutRequest, now_ms: float) -> bool:
--- a/rhubarbspar/gateway/settings.py
+++ b/rhubarbspar/gateway/settings.py
@@ -40,12 +40,17 @@
     retry_ratio, retry_allowance, retry_window
         Retry budget of each service over all instances: in a window (milliseconds), at most
         ``retry_ratio`` times its requests plus ``retry_allowance`` may be retries.
+    exposure_ratio, exposure_allowance
+        A bad version may get ``exposure_ratio`` times the requests of its service plus
+        ``exposure_allowance`` in the time of its rollout.
     """
 
     stop_grace: float
     retry_ratio: float
     retry_allowance: float
     retry_window: float
+    exposure_ratio: float
+    exposure_allowance: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +111,8 @@
         voluptuous.Required('retry_ratio'): _NUMBER,
         voluptuous.Required('retry_allowance'): _NUMBER,
         voluptuous.Required('retry_window'): _duration_ms,
+        voluptuous.Required('exposure_ratio'): _NUMBER,
+        voluptuous.Required('exposure_allowance'): _NUMBER,
     }
 )
 _SCHEMA: typing.Final = voluptuous.Schema(
--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -196,7 +196,7 @@
     revision = gateway.state.rollouts.active['stock'].request.revision
     member = models.Member('front-2', 'b', 'almaty-b', 'almaty', '', '')
     gateway.declare('members/front-2', member)
-    bad_each = canary_analysis.BAD_MIN - 1
+    bad_each = canary_analysis.VERDICT.bad_min - 1
     versions = (
         results('v1', revision, sent=200, good=200),
         results('v2', revision, sent=10, good=7, bad=bad_each),
@@ -214,7 +214,7 @@
     revision = gateway.state.rollouts.active['stock'].request.revision
     member = models.Member('front-2', 'b', 'almaty-b', 'almaty', '', '')
     gateway.declare('members/front-2', member)
-    versions = (results('v2', revision, sent=10, good=7, bad=canary_analysis.BAD_MIN - 1),)
+    versions = (results('v2', revision, sent=10, good=7, bad=canary_analysis.VERDICT.bad_min - 1),)
     heartbeat = messages.Heartbeat('b', 0, True, False, versions=versions)
     for _ in range(3):
         gateway.reduce(core_events.MessageReceived('front-2', heartbeat))
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -22,6 +22,8 @@
     'bounds.retryBudgetRatio': '0.2',
     'bounds.retryBudgetSlack': '56',
     'bounds.budgetWindow': '"10s"',
+    'bounds.exposureShare': '0.1',
+    'bounds.exposureSlack': '50',
     'ip': '10.1.0.23',
     'internalPorts.0': '7460',
     'internalPorts.1': '7461',
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -123,6 +123,8 @@
                 'retry_ratio': 0.2,
                 'retry_allowance': 56,
                 'retry_window': '10s',
+                'exposure_ratio': 0.1,
+                'exposure_allowance': 50,
             },
         }
 
