Keep the results of instances that have ended

Callers saw a bad version for longer when instances restarted: the results of the former process were replaced by those of the new one, or removed with its silence.

Cause: a restart dropped evidence. Change: the last report of a former incarnation, or of a silent child in a tree, stays; it is dropped when that process is heard again. Reports of peers for which another relay speaks now are removed, as they would count twice.

--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -187,19 +187,22 @@
         # Another relay speaks for the peer now. What came from a former relay stays until the
         # sums of the new one arrive, since otherwise the accounts would seem idle.
         state.quotas.forget_peer(peer.member.instance_id, now_ms)
+        state.rollouts.evidence.forget_peer(peer.member.instance_id)
     peer.relation = relation
     return [_full_heartbeat(state, peer, now_ms)] if peer.connected else []
 
 
 def _forget_replaced_sums(state: gateway_state.State, now_ms: float) -> None:
     """Remove the sums of peers for which other peers speak now, and results of silent peers."""
-    silent_ids = [
-        peer_id
-        for peer_id in state.rollouts.evidence.peers
-        if peer_id not in state.fleet.peers or not state.fleet.peers[peer_id].is_heard(now_ms)
-    ]
-    for peer_id in silent_ids:
-        state.rollouts.evidence.peers.pop(peer_id)
+    evidence = state.rollouts.evidence
+    for peer_id in tuple(evidence.peers):
+        peer = state.fleet.peers.get(peer_id)
+        if peer is not None and peer.is_heard(now_ms):
+            continue
+        if peer is not None and peer.relation == fleet.Relation.CHILD:
+            evidence.retire_peer(peer_id)
+        else:
+            evidence.forget_peer(peer_id)
     if state.fleet.is_relay and now_ms - state.fleet.relay_changed_ms > const.RELAY_CHANGE_MS:
         state.quotas.forget_peers_except(_summed_ids(state), now_ms)
 
@@ -229,7 +232,7 @@
         state.quotas.forget_peers_except({peer_id}, now_ms)
     elif not state.fleet.is_mesh:
         _forget_failed_relays(state, peer, heartbeat, now_ms)
-    state.rollouts.evidence.peers[peer_id] = heartbeat.versions
+    _apply_version_results(state, peer, heartbeat)
     limit_news = state.load_reports.apply(
         heartbeat.loads, state.servers.views, now_ms, is_child=is_child
     )
@@ -242,6 +245,24 @@
     return outputs
 
 
+def _apply_version_results(
+    state: gateway_state.State, peer: fleet.Peer, heartbeat: messages.Heartbeat
+) -> None:
+    """Apply the results of versions that a peer reports, and keep those from before its restart.
+
+    In a tree, the children of a relay that restarts report their results to its successor.
+    """
+    evidence = state.rollouts.evidence
+    peer_id = peer.member.instance_id
+    speaks_for_itself = state.fleet.is_mesh or peer.relation == fleet.Relation.CHILD
+    if speaks_for_itself and evidence.is_other_incarnation(peer_id, heartbeat.incarnation):
+        evidence.retire_peer(peer_id)
+    if peer.relation == fleet.Relation.PARENT:
+        # The sums of a former relay are part of those of the present one.
+        evidence.peers.clear()
+    evidence.apply_report(peer_id, heartbeat.incarnation, heartbeat.versions)
+
+
 def _forget_failed_relays(
     state: gateway_state.State, reporter: fleet.Peer, heartbeat: messages.Heartbeat, now_ms: float
 ) -> None:
@@ -350,9 +371,12 @@
         case fleet.Relation.NONE:
             return ()
         case fleet.Relation.CHILD:
-            return state.rollouts.report_with(state.rollouts.evidence.peers.keys() - {child_id})
+            peer_ids = state.rollouts.evidence.peers.keys() - {child_id}
+            return state.rollouts.report_with(peer_ids, with_former=True)
         case _:
-            return state.rollouts.report_with(state.fleet.related_peers(fleet.Relation.CHILD))
+            child_ids = state.fleet.related_peers(fleet.Relation.CHILD)
+            # In a mesh, every instance keeps the results of those that have ended itself.
+            return state.rollouts.report_with(child_ids, with_former=not state.fleet.is_mesh)
 
 
 def _write_due_statuses(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -212,10 +212,18 @@
         if rollout is not None and key.version != rollout.request.version:
             rollout.old_version_sent_ms = now_ms
 
-    def report_with(self, peer_ids: abc.Iterable[str]) -> tuple[messages.VersionResults, ...]:
-        """Return the sums of the results at this instance and of those that peers report."""
+    def report_with(
+        self, peer_ids: abc.Iterable[str], *, with_former: bool
+    ) -> tuple[messages.VersionResults, ...]:
+        """Return the sums of the results at this instance and of those that peers report.
+
+        Parameters
+        ----------
+        with_former
+            Whether to include the results of instances that have ended.
+        """
         active = {rollout.request.revision for rollout in self.active.values()}
-        return self.evidence.report_with(peer_ids, active)
+        return self.evidence.report_with(peer_ids, active, with_former=with_former)
 
     def reject_bad_candidates(self) -> tuple[messages.RejectedVersion, ...]:
         """Reject the candidates whose results are worse; return the new verdicts."""
--- a/rhubarbspar/gateway/version_evidence.py
+++ b/rhubarbspar/gateway/version_evidence.py
@@ -35,6 +35,22 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Origin:
+    """An incarnation of a peer."""
+
+    peer_id: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerReport:
+    """Results that an incarnation of a peer reports; they include those of its children."""
+
+    incarnation: str
+    counted: tuple[messages.VersionResults, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class VersionEvidence:
     """Results by version, rollout request and route.
@@ -44,7 +60,9 @@
     local_counts
         Results at this instance.
     peers
-        Results that the peers report, by instance id.
+        Last reports of the peers, by instance id.
+    former
+        Last reports of instances that have ended, which no instance reports any more.
     revisions
         Present revisions of the requests that had another one before a restore of the store.
     """
@@ -52,7 +70,10 @@
     local_counts: dict[ResultKey, canary_analysis.ResultCounts] = dataclasses.field(
         default_factory=dict
     )
-    peers: dict[str, tuple[messages.VersionResults, ...]] = dataclasses.field(default_factory=dict)
+    peers: dict[str, PeerReport] = dataclasses.field(default_factory=dict)
+    former: dict[_Origin, tuple[messages.VersionResults, ...]] = dataclasses.field(
+        default_factory=dict
+    )
     revisions: dict[_FormerRequest, int] = dataclasses.field(default_factory=dict)
 
     def record_sent(self, key: ResultKey) -> None:
@@ -107,6 +128,30 @@
             self._current_key(key): counts for key, counts in self.local_counts.items()
         }
 
+    def apply_report(
+        self, peer_id: str, incarnation: str, counted: tuple[messages.VersionResults, ...]
+    ) -> None:
+        """Replace the report of a peer; it includes what this incarnation reported before."""
+        self.former.pop(_Origin(peer_id, incarnation), None)
+        self.peers[peer_id] = PeerReport(incarnation, counted)
+
+    def is_other_incarnation(self, peer_id: str, incarnation: str) -> bool:
+        """Return whether the last report of a peer came from another incarnation."""
+        known = self.peers.get(peer_id)
+        return known is not None and known.incarnation != incarnation
+
+    def retire_peer(self, peer_id: str) -> None:
+        """Keep the last report of a peer that has ended or is silent."""
+        known = self.peers.pop(peer_id, None)
+        if known is None or not known.counted:
+            return
+        ended = tuple(dataclasses.replace(use, running=0) for use in known.counted)
+        self.former[_Origin(peer_id, known.incarnation)] = ended
+
+    def forget_peer(self, peer_id: str) -> None:
+        """Forget the report of a peer whose results another peer reports."""
+        self.peers.pop(peer_id, None)
+
     def report(self, active: abc.Container[int]) -> tuple[messages.VersionResults, ...]:
         """Return the results at this instance under requests with some revisions."""
         return tuple(
@@ -126,17 +171,27 @@
         )
 
     def report_with(
-        self, peer_ids: abc.Iterable[str], active: abc.Container[int]
+        self, peer_ids: abc.Iterable[str], active: abc.Container[int], *, with_former: bool
     ) -> tuple[messages.VersionResults, ...]:
-        """Return the sums of the results at this instance and of those that peers report."""
-        reports = [self.peers.get(peer_id, ()) for peer_id in peer_ids]
+        """Return the sums of the results at this instance and of those that peers report.
+
+        Parameters
+        ----------
+        with_former
+            Whether to include the results of instances that have ended.
+        """
+        reports = [self.peers[peer_id].counted for peer_id in peer_ids if peer_id in self.peers]
+        if with_former:
+            reports.extend(self.former.values())
         return version_sums.add_up([self.report(active), *reports])
 
     def of_request(self, service_id: str, revision: int) -> list[messages.VersionResults]:
         """Return the results of all instances under a rollout request."""
         uses = list(self.report((revision,)))
-        for reported in self.peers.values():
-            uses.extend(reported)
+        for report in self.peers.values():
+            uses.extend(report.counted)
+        for counted in self.former.values():
+            uses.extend(counted)
         return [use for use in uses if use.service_id == service_id and use.revision == revision]
 
     def _counts(self, key: ResultKey) -> canary_analysis.ResultCounts:
--- a/tests/gateway/test_forwards.py
+++ b/tests/gateway/test_forwards.py
@@ -254,6 +254,6 @@
     started = [conftest.single_effect(stranded.request(), effects.StartAttempt) for _ in range(40)]
     for attempt in started:
         stranded.reduce(conftest.ended(attempt, BROKEN))
-    results = stranded.state.rollouts.report_with(())
+    results = stranded.state.rollouts.report_with((), with_former=False)
     assert {use.version for use in results} == {'v1', 'v2'}
     assert not any(use.bad for use in results)
--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -233,7 +233,7 @@
         results('v1', former, sent=200, good=200),
         results('v2', former, sent=10, good=5, bad=5),
     )
-    gateway.state.rollouts.evidence.peers['front-2'] = versions
+    gateway.state.rollouts.evidence.apply_report('front-2', 'a', versions)
     gateway.advance(TICK_MS)
     assert rollout.rejected
 
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -95,7 +95,7 @@
         use = messages.VersionResults(
             'stock', version, rollout.request.revision, 90, 0, 60, 30, 0, 'r'
         )
-        rollouts.evidence.peers[version] = (use,)
+        rollouts.evidence.apply_report(version, 'a', (use,))
     assert not rollouts.reject_bad_candidates()
 
 
