Count results and verdicts under the former revision of a request

Callers could see a bad version again after a restore of the store: instances that read the restored store a little earlier ignored the results and the verdicts of those that had not, and the other way round.

Cause: evidence was matched by the revision of the request, which a restore changes. Change: former revisions lead to the present one wherever results and verdicts of peers are used.

--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -128,13 +128,15 @@
 
     def apply_verdict(self, verdict: messages.RejectedVersion) -> bool:
         """Reject a version under a rollout request; return whether the verdict is new."""
+        is_new = verdict not in self.verdicts
         rollout = self.active.get(verdict.service_id)
-        if rollout is not None and rollout.request.revision == verdict.revision:
+        revision = self.evidence.current_revision(verdict.service_id, verdict.revision)
+        if rollout is not None and rollout.request.revision == revision:
             rollout.rejected = True
-        if verdict in self.verdicts:
-            return False
+            # Instances that start now only know the present revision.
+            self.verdicts.add(_verdict(rollout.request))
         self.verdicts.add(verdict)
-        return True
+        return is_new
 
     def candidate_share(self, rollout: Rollout, now_ms: float) -> float:
         """Return the share of the requests that the candidate gets now."""
--- a/rhubarbspar/gateway/version_evidence.py
+++ b/rhubarbspar/gateway/version_evidence.py
@@ -192,15 +192,21 @@
             uses.extend(report.counted)
         for counted in self.former.values():
             uses.extend(counted)
-        return [use for use in uses if use.service_id == service_id and use.revision == revision]
+        return [
+            use
+            for use in uses
+            if use.service_id == service_id
+            and self.current_revision(service_id, use.revision) == revision
+        ]
+
+    def current_revision(self, service_id: str, revision: int) -> int:
+        """Return the revision that a rollout request has now, by one that it had or has."""
+        return self.revisions.get(_FormerRequest(service_id, revision), revision)
 
     def _counts(self, key: ResultKey) -> canary_analysis.ResultCounts:
         return self.local_counts.setdefault(self._current_key(key), canary_analysis.ResultCounts())
 
     def _current_key(self, key: ResultKey) -> ResultKey:
         """Return a key with the revision that the request of its rollout has now."""
-        revision = self._current_revision(key.service_id, key.revision)
+        revision = self.current_revision(key.service_id, key.revision)
         return key if revision == key.revision else dataclasses.replace(key, revision=revision)
-
-    def _current_revision(self, service_id: str, revision: int) -> int:
-        return self.revisions.get(_FormerRequest(service_id, revision), revision)
