Start the instances at different points of a version's share

Callers saw a bad version found late in large fleets: of 600 requests at 60 instances none went to a new version with a share of 5%, so that there was no evidence in the first step.

Cause: each instance sent its first request to the candidate after 20 of its own, all instances at about the same time. Change: the instances start with different credits, by the hash of their id and the service.

--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -105,13 +105,22 @@
         default_factory=rollout_schedule.ExposureLimits
     )
 
-    def apply_request(self, request: models.RolloutRequest, now_ms: float) -> None:
-        """Start a rollout; the same request, also in a restored store, changes nothing."""
+    def apply_request(
+        self, request: models.RolloutRequest, now_ms: float, initial_credit: float = 0
+    ) -> None:
+        """Start a rollout; the same request, also in a restored store, changes nothing.
+
+        Parameters
+        ----------
+        initial_credit
+            Requests due to the candidate at the start, 0 to 1. With different ones, the instances
+            together send the candidate its share, however few requests each of them has.
+        """
         known = self.active.get(request.service_id)
         if known is not None and known.request.revision == request.revision:
             return
         if known is None or not _is_written_again(known, request, now_ms):
-            self.active[request.service_id] = Rollout(request, now_ms)
+            self.active[request.service_id] = Rollout(request, now_ms, initial_credit)
             return
         self._adopt_revision(known, request, now_ms)
 
--- a/rhubarbspar/gateway/store_records.py
+++ b/rhubarbspar/gateway/store_records.py
@@ -11,6 +11,7 @@
 from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.helpers import rendezvous
 
 # Cold period of a service that declares none.
 _NO_COLD_PERIOD_MS: typing.Final = 0.0
@@ -84,7 +85,9 @@
         case models.BackendServer():
             return _apply_server(state, decoded, record.revision, now_ms)
         case models.RolloutRequest():
-            state.rollouts.apply_request(decoded, now_ms)
+            own_id = state.fleet.own_member.instance_id
+            initial_credit = rendezvous.hash_fraction(f'{own_id}/{decoded.service_id}')
+            state.rollouts.apply_request(decoded, now_ms, initial_credit)
             status = state.declared.rollout_statuses.get(decoded.service_id)
             if status is not None:
                 state.rollouts.apply_status(status)
