Check a server at once after it has broken a connection

Callers saw servers end one after the other under a request that is sent again and again, in fleets of 6 instances and of 60.

Cause: an instance counted a crash only if it happened to send another request to the same server within 1.5 s and found it unreachable. Few instances send that often to one server, so that no instance alone saw both. Change: the instance opens a connection to the server as soon as one breaks; and a registration that shows that the process has ended confirms what broke in the 15 s before, also for attempts that peers passed on.

--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -11,6 +11,7 @@
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
+from rhubarbspar.gateway import crashes
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import fleet
 from rhubarbspar.gateway import load_reports
@@ -79,9 +80,10 @@
 def note_crash(
     state: gateway_state.State, sender_id: str, crash: messages.CrashSeen, now_ms: float
 ) -> list[core_effects.Effect]:
-    """Record a crash that a peer has seen, and pass it on along the tree."""
-    state.crashes.record_crash(crash.fingerprint, crash.server_id, now_ms)
-    return spread(state, crash, sender_id)
+    """Record a crash that a peer has seen, and pass it on along the tree if it is news."""
+    recorded = crashes.Crash(crash.fingerprint, crash.server_id, now_ms - crash.age_ms)
+    is_news = state.crashes.record_crash(recorded, now_ms)
+    return spread(state, crash, sender_id) if is_news else []
 
 
 def spread(
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -171,7 +171,10 @@
     ----------
     server_id
         Id and incarnation of the server.
+    age_ms
+        Time since the crash.
     """
 
     fingerprint: str
     server_id: str
+    age_ms: int = 0
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -3,13 +3,11 @@
 import typing
 
 from rhubarbspar.core import effects as core_effects
-from rhubarbspar.gateway import admission
 from rhubarbspar.gateway import const
+from rhubarbspar.gateway import crash_checks
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import gossip
 from rhubarbspar.gateway import link_checks
 from rhubarbspar.gateway import load_reports
-from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import processing_times
 from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import servers
@@ -155,9 +153,9 @@
     outputs: list[core_effects.Effect] = []
     if attempt_result == events.AttemptResult.UNREACHABLE:
         attempt.view.eject(now_ms)
-        outputs.extend(_confirm_crash(state, attempt, now_ms))
+        outputs.extend(crash_checks.note_unreachable(state, attempt.view.server, now_ms))
     else:
-        outputs.extend(_record_broken_attempt(state, attempt, now_ms))
+        outputs.extend(crash_checks.note_broken_attempt(state, attempt, now_ms))
     return outputs + _note_link_failure(state, attempt, now_ms)
 
 
@@ -213,35 +211,3 @@
     Its response times then say little about the processing time.
     """
     return load is not None and load.waiting > 0
-
-
-def _record_broken_attempt(
-    state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float
-) -> list[core_effects.Effect]:
-    """Record the broken connection; it is a crash if the server is soon found unreachable."""
-    pending = state.pending.get(attempt.request_number)
-    if pending is None:
-        return []
-    fingerprint = admission.crash_fingerprint(pending.request, pending.account)
-    incarnation = attempt.view.server.incarnation
-    state.crashes.record_broken_attempt(fingerprint, incarnation, now_ms)
-    fields = (
-        ('request', pending.request.attempt_id),
-        ('fingerprint', fingerprint),
-        ('server', incarnation),
-    )
-    return [core_effects.Log('crash_suspected', fields)]
-
-
-def _confirm_crash(
-    state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float
-) -> list[core_effects.Effect]:
-    """Count recent broken connections of an unreachable server as crashes; inform the peers."""
-    incarnation = attempt.view.server.incarnation
-    fingerprints = state.crashes.confirm_crash(incarnation, now_ms)
-    outputs: list[core_effects.Effect] = []
-    for fingerprint in fingerprints:
-        outputs.extend(gossip.spread(state, messages.CrashSeen(fingerprint, incarnation)))
-        fields = (('fingerprint', fingerprint), ('server', incarnation))
-        outputs.append(core_effects.Log('crash_confirmed', fields))
-    return outputs
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -3,6 +3,7 @@
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import const
+from rhubarbspar.gateway import crash_checks
 from rhubarbspar.gateway import dispatch
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
@@ -72,7 +73,8 @@
         case events.ForwardAbandoned(forward_number):
             return forwards.abandon(state, forward_number)
         case events.ProbeEnded():
-            return link_checks.finish_probe(state, event, now_ms)
+            confirmed = crash_checks.finish_check(state, event, now_ms)
+            return [*confirmed, *link_checks.finish_probe(state, event, now_ms)]
     return []
 
 
--- a/rhubarbspar/gateway/store_records.py
+++ b/rhubarbspar/gateway/store_records.py
@@ -5,6 +5,7 @@
 
 from rhubarbspar import exceptions
 from rhubarbspar.core import effects as core_effects
+from rhubarbspar.gateway import crash_checks
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
@@ -129,8 +130,11 @@
     now_ms: float,
 ) -> list[core_effects.Effect]:
     """Store a server's declaration; for a new incarnation, drop the old pooled connections."""
+    known = state.servers.views.get(server.server_id)
     outputs: list[core_effects.Effect] = []
     if state.servers.declare(server, now_ms):
+        if known is not None:
+            outputs.extend(crash_checks.note_ended(state, known.server, now_ms))
         server_limits.start_cold_share(state, state.servers.views[server.server_id], now_ms)
         outputs.append(effects.ForgetServer(server.server_id))
     log_fields = (
@@ -186,7 +190,10 @@
     if now_ms < grace_until_ms and is_alive and not view.server.draining:
         state.servers.mark_lapsed(server_id, grace_until_ms + servers.LAPSE_MARGIN_MS)
         return [core_effects.Log('server_lapsed', (('server', server_id),))]
-    return _forget_server(state, server_id, 'removed')
+    ended: list[core_effects.Effect] = []
+    if not view.server.draining:
+        ended = crash_checks.note_ended(state, view.server, now_ms)
+    return ended + _forget_server(state, server_id, 'removed')
 
 
 def _forget_server(
--- a/tests/gateway/test_poison_requests.py
+++ b/tests/gateway/test_poison_requests.py
@@ -83,6 +83,8 @@
     @property
     def late_repeats(self):
         """Return how often the request reached a server although its crashes were known."""
+        if len(self.crashed_ms) < CRASHES_MAX:
+            return 0
         known_ms = self.crashed_ms[CRASHES_MAX - 1] + REACTION_MS
         return sum(sent_ms > known_ms for sent_ms in self.poison_ms)
 
