Read entries of other writers strictly

Callers would see every request refused (503, internal_error) while one entry among the servers names a number of slots that is too large for a float; log lines with a lone surrogate failed; addresses with host names, line breaks or ports in other digits and ids with line breaks named servers to use.

Cause: the decoder checked types, not ranges and characters. Registrations of instances are read the same way. Errors no longer repeat the record. Deep nesting in an answer of the store is a failed call.

Deep nesting, ports out of range and fields of other types were rejected before as well, and no odd registration of an instance stopped requests or changes.

--- a/rhubarbspar/gateway/log_stream.py
+++ b/rhubarbspar/gateway/log_stream.py
@@ -60,7 +60,7 @@
 
     def write(self, line: str) -> None:
         """Write a line, buffer it while the reader stalls, or drop it if the buffer is full."""
-        encoded = line.encode()
+        encoded = line.encode(errors='backslashreplace')
         if len(self._buffer) + len(encoded) > BUFFER_MAX_BYTES:
             self.dropped_count += 1
             return
--- a/rhubarbspar/platform/records.py
+++ b/rhubarbspar/platform/records.py
@@ -1,8 +1,10 @@
 """Codec of the store records that operators, backend servers and instances write."""
 
 import dataclasses
+import ipaddress
 import json
 import re
+import reprlib
 import typing
 
 from rhubarbspar.gateway import models
@@ -32,6 +34,13 @@
 _SERVER_STATES: typing.Final = frozenset(('ready', 'draining'))
 _DEFAULT_ATTEMPTS_MAX: typing.Final = 1
 _PORT_MAX: typing.Final = 65_535
+# Names are copied into log lines, messages and headers of requests.
+_NAME_LENGTH_MAX: typing.Final = 200
+# Numbers beyond 64 bits cannot be sent to peers, and break arithmetic with floats.
+_INTEGER_MAX: typing.Final = 9_223_372_036_854_775_807
+_SLOTS_MAX: typing.Final = 1_000_000
+# Longer descriptions of an error repeat most of the record.
+_ERROR_LENGTH_MAX: typing.Final = 200
 
 
 def decode(key: str, content: bytes, revision: int) -> Record | None:
@@ -48,7 +57,8 @@
     try:
         return decoder(key, _parse_object(content), revision)
     except _DECODE_ERRORS as error:
-        raise errors.RecordError(f'{key}: {error!r}') from error
+        described = f'{type(error).__name__}: {error}'[:_ERROR_LENGTH_MAX]
+        raise errors.RecordError(f'{key}: {described}') from error
 
 
 def encode_status(status: models.RolloutStatus) -> bytes:
@@ -81,26 +91,31 @@
 
 
 def _parse_object(content: bytes) -> Document:
-    document = json.loads(content)
+    document = json.loads(content, parse_constant=_reject_constant)
     if not isinstance(document, dict):
         raise TypeError('record is not a JSON object')
     return document
 
 
+def _reject_constant(name: str) -> typing.NoReturn:
+    """Reject ``NaN`` and infinities, which are not JSON."""
+    raise ValueError(f'{name} is not JSON')
+
+
 def _decode_server(key: str, document: Document, _revision: int) -> models.BackendServer:
-    host, _, port = _require_string(document['address']).rpartition(':')
-    if document['state'] not in _SERVER_STATES:
+    host, _, port = _require_name(document['address']).rpartition(':')
+    if _require_name(document['state']) not in _SERVER_STATES:
         raise ValueError('state is unknown')
-    if not 0 < int(port) <= _PORT_MAX or not host:
-        raise ValueError('address is not host:port')
+    if not port.isdecimal() or not 0 < int(port) <= _PORT_MAX:
+        raise ValueError('address has no port')
     return models.BackendServer(
-        server_id=key.removeprefix(const.PREFIX_SERVER),
-        service_id=_require_string(document['service']),
-        host=host,
+        server_id=_require_token(key.removeprefix(const.PREFIX_SERVER)),
+        service_id=_require_name(document['service']),
+        host=str(ipaddress.IPv4Address(host)),
         port=int(port),
-        failure_domain=_require_string(document['zone']),
-        version=_require_string(document['version']),
-        slots=max(1, _require_integer(document['slots'])),
+        failure_domain=_require_name(document['zone']),
+        version=_require_name(document['version']),
+        slots=max(1, _require_integer(document['slots'], _SLOTS_MAX)),
         draining=document['state'] == 'draining',
         cold_ms=durations.parse_ms(document.get('coldRemaining', '0ms')),
         started_unix_ms=_require_integer(document.get('born', 0)),
@@ -138,7 +153,7 @@
     }
     names = [field.name for field in dataclasses.fields(models.Member)]
     found = {**defaults, **document}
-    return models.Member(**{name: _require_string(found[name]) for name in names})
+    return models.Member(**{name: _require_name(found[name]) for name in names})
 
 
 def _decode_configuration(_key: str, document: Document, _revision: int) -> models.Configuration:
@@ -226,13 +241,30 @@
 
 def _require_string(raw: object) -> str:
     if not isinstance(raw, str):
-        raise TypeError(f'{raw!r} is not a string')
+        raise TypeError(f'{reprlib.repr(raw)} is not a string')
     return raw
 
 
-def _require_integer(raw: object) -> int:
+def _require_name(raw: object) -> str:
+    """Return a name; it can be encoded, logged on one line and copied into a header."""
+    name = _require_string(raw)
+    if not name.isprintable() or len(name) > _NAME_LENGTH_MAX:
+        raise ValueError(f'{reprlib.repr(name)} is no printable name of ordinary length')
+    return name
+
+
+def _require_token(name: str) -> str:
+    """Return a name that is sent in a header as a whole."""
+    if not name or not name.isascii() or not name.isprintable() or ' ' in name:
+        raise ValueError('the id is not printable ASCII without spaces')
+    return name
+
+
+def _require_integer(raw: object, maximum: int = _INTEGER_MAX) -> int:
     if isinstance(raw, bool) or not isinstance(raw, int):
-        raise TypeError(f'{raw!r} is not an integer')
+        raise TypeError(f'{reprlib.repr(raw)} is not an integer')
+    if abs(raw) > maximum:
+        raise ValueError('the integer is too large')
     return raw
 
 
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -202,7 +202,7 @@
             raise errors.StoreRejectedError(outcome.status)
         try:
             return _Answer(json.loads(outcome.body or _NO_DOCUMENT), era)
-        except ValueError as error:
+        except (RecursionError, ValueError) as error:
             raise errors.StoreError('answer of the store is not JSON') from error
 
     def _check_era(self, response: messages.Response) -> int:
