Do not retry a request that was found to crash servers

Callers' safe requests that were admitted before the second crash was known were sent to one more server.

Cause: only new requests were checked. Change: a retry is checked as well.

Evidence: the new test failed before and passes now.

--- a/rhubarbspar/gateway/admission.py
+++ b/rhubarbspar/gateway/admission.py
@@ -88,13 +88,23 @@
     return f'{request.fingerprint}.{account_id}'
 
 
+def crashes_servers(
+    state: gateway_state.State,
+    request: models.Request,
+    account: models.ClientAccount | None,
+    now_ms: float,
+) -> bool:
+    """Return whether a request has crashed so many servers that no other one may get it."""
+    fingerprint = crash_fingerprint(request, account)
+    return state.crashes.is_poison_request(fingerprint, now_ms, state.servers.last_heard_ms)
+
+
 def _check_account(
     state: gateway_state.State, request: models.Request, admitted: Admitted, now_ms: float
 ) -> Admitted | Refusal:
     """Refuse a request that has crashed servers, or whose account is over its rate limit."""
     account = admitted.account
-    fingerprint = crash_fingerprint(request, account)
-    if state.crashes.is_poison_request(fingerprint, now_ms, state.servers.last_heard_ms):
+    if crashes_servers(state, request, account, now_ms):
         return Refusal(const.STATUS_UNAVAILABLE, package_const.REASON_CRASHES_SERVERS)
     if account is None:
         return admitted
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -306,6 +306,8 @@
     if ended.result in version_results.MAY_HAVE_RUN:
         if not route.idempotent or pending.run_count >= route.attempts_max:
             return False
+    if admission.crashes_servers(state, pending.request, pending.account, now_ms):
+        return False
     if pending.send_count >= SENDS_MAX:
         return False
     if pending.due_ms - now_ms < RETRY_PROCESSING_SHARE * processing_times.uncached_ms(
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -81,3 +81,14 @@
     heartbeat = messages.Heartbeat('b', 0, True, False, loads=loads)
     gateway.reduce(core_events.MessageReceived('front-2', heartbeat))
     assert conftest.single_effect(gateway.request(), effects.StartAttempt)
+
+
+def test_request_that_was_admitted_before_is_not_sent_again(gateway):
+    """Guards against retries of a request that has been found to crash servers meanwhile."""
+    started = conftest.single_effect(gateway.request(), effects.StartAttempt)
+    for server_id in ('stock-8', 'stock-9'):
+        seen = messages.CrashSeen('/stock/1.workshop', f'{server_id}.1000')
+        gateway.reduce(core_events.MessageReceived('front-2', seen))
+    outputs = gateway.reduce(conftest.ended(started, events.AttemptResult.BROKEN))
+    assert not [output for output in outputs if isinstance(output, effects.StartAttempt)]
+    assert conftest.single_effect(outputs, effects.Refuse)
