Divide the exposure's allowance among instances that do not hear each other

Callers of instances that are cut off from the others could send a bad version its whole allowance from each of them.

Cause: each instance took the allowance as its own; results of silent peers with requests under way were held to be current. Change: an instance uses the part of the allowance that belongs to the instances it hears; results of silent peers count as those of ended ones until they are heard again.

Evidence: the new test failed before (an instance alone, one of ten) and passes now.

--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -181,6 +181,8 @@
     """Update the tree, the connections, the known sums and the duty to watch the store."""
     outputs = _update_relay(state, now_ms)
     state.quotas.expire_peers(now_ms)
+    state.rollouts.heard_share = state.fleet.live_count(now_ms) / state.fleet.registered_count
+    _retire_silent_reports(state, now_ms)
     if not state.fleet.is_mesh:
         _forget_replaced_sums(state, now_ms)
     outputs.extend(topology.connection_effects(state.fleet, now_ms))
@@ -220,18 +222,23 @@
 
 
 def _forget_replaced_sums(state: gateway_state.State, now_ms: float) -> None:
-    """Remove the sums of peers for which other peers speak now, and results of silent peers."""
+    """Remove the sums of peers for which other peers speak now."""
+    if state.fleet.is_relay and now_ms - state.fleet.relay_changed_ms > const.RELAY_CHANGE_MS:
+        state.quotas.forget_peers_except(_summed_ids(state), now_ms)
+
+
+def _retire_silent_reports(state: gateway_state.State, now_ms: float) -> None:
+    """Keep the results of silent peers, unless another peer speaks for them."""
     evidence = state.rollouts.evidence
     for peer_id in tuple(evidence.peers):
         peer = state.fleet.peers.get(peer_id)
         if peer is not None and peer.is_heard(now_ms):
             continue
-        if peer is not None and peer.relation == fleet.Relation.CHILD:
+        is_child = peer is not None and peer.relation == fleet.Relation.CHILD
+        if state.fleet.is_mesh or is_child:
             evidence.retire_peer(peer_id)
         else:
             evidence.forget_peer(peer_id)
-    if state.fleet.is_relay and now_ms - state.fleet.relay_changed_ms > const.RELAY_CHANGE_MS:
-        state.quotas.forget_peers_except(_summed_ids(state), now_ms)
 
 
 def _summed_ids(state: gateway_state.State) -> set[str]:
--- a/rhubarbspar/gateway/rollout_schedule.py
+++ b/rhubarbspar/gateway/rollout_schedule.py
@@ -36,7 +36,7 @@
     ratio
         Requests permitted per request to the service.
     allowance
-        Requests permitted in addition.
+        Requests permitted in addition, to all instances together.
     """
 
     ratio: float = 0.1
@@ -74,6 +74,8 @@
     ----------
     elapsed_ms, duration_ms
         Time since the rollout request, and the time that it gives.
+    limits
+        Limits of the instances whose results are known.
     """
     elapsed_share = elapsed_ms / max(1, duration_ms)
     scheduled = max(step.share for step in STEPS if step.elapsed_share <= elapsed_share)
--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -93,6 +93,9 @@
         Versions that were found bad, with their rollout requests.
     exposure
         Requests that a bad version may get.
+    heard_share
+        Share of the instances whose results are known here. The others may use the rest of the
+        allowance.
     """
 
     active: dict[str, Rollout] = dataclasses.field(default_factory=dict)
@@ -104,6 +107,7 @@
     exposure: rollout_schedule.ExposureLimits = dataclasses.field(
         default_factory=rollout_schedule.ExposureLimits
     )
+    heard_share: float = 1
 
     def apply_request(
         self, request: models.RolloutRequest, now_ms: float, initial_credit: float = 0
@@ -155,7 +159,9 @@
                 now_ms - rollout.started_ms,
                 rollout.request.duration_ms,
                 self._evaluate(rollout),
-                self.exposure,
+                dataclasses.replace(
+                    self.exposure, allowance=self.exposure.allowance * self.heard_share
+                ),
             )
         return rollout.share
 
--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -62,8 +62,9 @@
         time of ``None`` means that there is none.
     """
 
-    def __init__(self, gateway, response):
+    def __init__(self, gateway, response, requests_per_s=REQUESTS_PER_S):
         """Serve nothing yet."""
+        self._requests_per_s = requests_per_s
         self.served = Served()
         self._gateway = gateway
         self._response = response
@@ -78,7 +79,7 @@
         while self._gateway.now_ms < until_ms:
             self._gateway.now_ms += TICK_MS
             self._deliver()
-            due_requests += REQUESTS_PER_S * TICK_MS / 1000
+            due_requests += self._requests_per_s * TICK_MS / 1000
             while due_requests >= 1:
                 due_requests -= 1
                 request = f'{path}{next(self._numbers)}'
@@ -181,6 +182,19 @@
     assert served.phases == [const.PHASE_RUNNING]
 
 
+def test_instance_that_hears_no_other_one_uses_its_part_of_the_allowance(gateway):
+    """Guards against a bad version whose exposure is used up by each cut-off instance again."""
+    peers = 9
+    for number in range(peers):
+        member = models.Member(f'front-{number}x', 'b', 'almaty-b', 'almaty', '', '')
+        gateway.declare(f'members/front-{number}x', member)
+    gateway.advance(3000)
+    start_rollout(gateway)
+    served = Service(gateway, lambda _: REFUSAL, REQUESTS_PER_S / peers).run(ROLLOUT_MS)
+    limit = EXPOSURE_RATIO * len(served.versions) + EXPOSURE_ALLOWANCE / (peers + 1)
+    assert served.versions.count('v2') <= limit
+
+
 @pytest.mark.parametrize('service_id', ['orders', 'stock'])
 def test_good_version_of_a_slow_service_completes_in_time(gateway, service_id):
     """Guards against a rollout that waits for more results than the service gives."""
