Send nothing more to servers that leave or ask for a pause

Servers say in each response that they are leaving (Server-Leaving), also if their registration never does, and may name with a 503 a time for which they want no requests (Retry-After). Both were passed on to callers only.

Change: a server that says it leaves gets no request of this instance any more, retries and attempts of peers included, until another process of it registers; a later 'ready' of the same process changes nothing. A server that names a time gets none for it; the longer of two times holds, at most five minutes. If all servers have turned requests away, callers are refused at once with the time of the first one. An instance that passes attempts on is bound by what it has seen itself. Peers are not told: a server that leaves is declared so in the store, and a pause is meant for one instance.

--- a/rhubarbspar/gateway/backend_client.py
+++ b/rhubarbspar/gateway/backend_client.py
@@ -175,6 +175,8 @@
                 reused_connection=call.reused,
                 connect_ms=connect_ms,
                 limit_per_s=requests.decode_rate_limit(outcome),
+                leaving=requests.decode_leaving(outcome),
+                retry_after_ms=requests.decode_retry_after_ms(outcome),
             )
         case errors.ConnectError():
             result = events.AttemptResult.UNREACHABLE
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -164,7 +164,8 @@
     """Choose a server and start an attempt there, or refuse the request."""
     choice = placement.choose_server(state, pending, now_ms)
     if choice is None:
-        return _refuse(state, pending, package_const.REASON_NO_SERVER)
+        retry_after_ms = placement.turned_away_ms(state, pending, now_ms)
+        return _refuse(state, pending, package_const.REASON_NO_SERVER, retry_after_ms)
     if _ends_after_stop(state, pending, choice, now_ms):
         # Another instance can serve it in time.
         return _refuse(state, pending, const.REASON_STOPPING, admission.STOP_RETRY_AFTER_MS)
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -75,6 +75,10 @@
     limit_per_s
         Requests a second that the server takes from all instances together; ``None`` if the
         response names no limit.
+    leaving
+        Whether the response says that the server is leaving.
+    retry_after_ms
+        For how long the server wants no requests of this instance; ``None`` if it does not say so.
     """
 
     attempt_number: int
@@ -84,6 +88,8 @@
     reused_connection: bool = False
     connect_ms: float | None = None
     limit_per_s: float | None = None
+    leaving: bool = False
+    retry_after_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/forwards.py
+++ b/rhubarbspar/gateway/forwards.py
@@ -10,6 +10,7 @@
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import link_checks
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import server_notices
 from rhubarbspar.gateway import state as gateway_state
 
 
@@ -17,14 +18,15 @@
     state: gateway_state.State, forwarded: models.ForwardedAttempt, now_ms: float
 ) -> list[core_effects.Effect]:
     """Pass an attempt of a peer on to its server, or return it as not sent."""
-    refusal = _find_refusal(state, forwarded)
+    refusal = _find_refusal(state, forwarded, now_ms)
     if refusal is not None:
         return _refuse(forwarded, refusal)
-    server = state.servers.views[forwarded.server_id].server
+    view = state.servers.views[forwarded.server_id]
+    server = view.server
     state.last_attempt_number += 1
     number = state.last_attempt_number
     due_ms = now_ms + forwarded.time_left_ms
-    state.forwards[number] = gateway_state.Forward(forwarded, due_ms)
+    state.forwards[number] = gateway_state.Forward(forwarded, view, due_ms)
     timeout_ms = state.network.connect_timeout_ms(server.failure_domain)
     return [
         effects.StartForward(forwarded.forward_number, number, server, timeout_ms),
@@ -36,12 +38,14 @@
     state: gateway_state.State, ended: events.AttemptEnded, now_ms: float
 ) -> list[core_effects.Effect]:
     """Return the result of an attempt to the peer."""
-    forwarded = state.forwards.pop(ended.attempt_number).forwarded
+    forward = state.forwards.pop(ended.attempt_number)
+    forwarded = forward.forwarded
     fields = (('result', ended.result.value), ('status', ended.status))
     outputs: list[core_effects.Effect] = [
         effects.AnswerForward(forwarded.forward_number, ended.result, ended.attempt_number),
         core_effects.Count(const.METRIC_FORWARDS, ended.result.value),
         _log(forwarded, 'forward_ended', fields),
+        *server_notices.record(state, forward.view, ended, now_ms),
     ]
     if ended.result == events.AttemptResult.UNREACHABLE:
         outputs.extend(link_checks.note_failure(state, forwarded.server_id, now_ms))
@@ -73,7 +77,7 @@
 
 
 def _find_refusal(
-    state: gateway_state.State, forwarded: models.ForwardedAttempt
+    state: gateway_state.State, forwarded: models.ForwardedAttempt, now_ms: float
 ) -> events.AttemptResult | None:
     """Return the result of an attempt that is not passed on, or ``None``."""
     if state.is_stopping or not state.links.are_up:
@@ -81,6 +85,11 @@
     view = state.servers.views.get(forwarded.server_id)
     if view is None or not state.declared.may_get_requests(view.server):
         return events.AttemptResult.WRONG_INSTANCE
+    if view.leaving:
+        return events.AttemptResult.WRONG_INSTANCE
+    if now_ms < view.turned_away_until_ms:
+        # Another peer may reach a server that has not turned it away.
+        return events.AttemptResult.NOT_FORWARDED
     return None
 
 
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -10,6 +10,7 @@
 from rhubarbspar.gateway import load_reports
 from rhubarbspar.gateway import processing_times
 from rhubarbspar.gateway import server_limits
+from rhubarbspar.gateway import server_notices
 from rhubarbspar.gateway import servers
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import version_results
@@ -46,6 +47,7 @@
     attempt.release()
     version_results.record_end(state, attempt, ended, now_ms)
     outputs = _record_reports(state, view, ended, now_ms)
+    outputs.extend(server_notices.record(state, view, ended, now_ms))
     if ended.connect_ms is not None and attempt.forwarder is None:
         state.network.record_connect_time(view.server.failure_domain, ended.connect_ms)
         state.links.record_opened(attempt.started_ms + ended.connect_ms)
--- a/rhubarbspar/gateway/placement.py
+++ b/rhubarbspar/gateway/placement.py
@@ -53,6 +53,15 @@
     return dataclasses.replace(choice, place=expected.place)
 
 
+def turned_away_ms(
+    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
+) -> float | None:
+    """Return when the first server wants requests again, if all of them have turned some away."""
+    views = _permitted_group(state, pending).views
+    until_ms = min((view.turned_away_until_ms for view in views), default=now_ms)
+    return until_ms - now_ms if until_ms > now_ms else None
+
+
 def is_overloaded(
     pending: gateway_state.PendingRequest, choice: selection.Choice, now_ms: float
 ) -> bool:
@@ -137,9 +146,9 @@
 def _is_permitted(
     state: gateway_state.State, key: groups.GroupKey, view: servers.ServerView
 ) -> bool:
-    """Return whether a server is neither draining nor evacuated, and in a permitted region."""
+    """Return whether a server is neither leaving nor evacuated, and in a permitted region."""
     server = view.server
-    if not state.declared.may_get_requests(server):
+    if view.leaving or not state.declared.may_get_requests(server):
         return False
     region = state.network.regions.get(server.failure_domain, '')
     if key.account_regions and region not in key.account_regions:
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/servers.py
@@ -71,6 +71,10 @@
         Share of the rate limit that the server named in its last response; ``None`` without one.
     limit_reported_ms
         When the server last told this instance or a peer whether it has a limit.
+    leaving
+        Whether the server has said in a response that it is leaving.
+    turned_away_until_ms
+        Until then the server wants no requests of this instance.
     overload
         Detector of a standing queue at the server.
     """
@@ -95,6 +99,8 @@
     full_load: float = math.inf
     limit: rate_shares.RateShare | None = None
     limit_reported_ms: float = -math.inf
+    leaving: bool = False
+    turned_away_until_ms: float = -math.inf
     overload: server_overload.StandingQueueDetector = dataclasses.field(
         default_factory=server_overload.StandingQueueDetector
     )
@@ -206,6 +212,8 @@
 
         Requests to a cold server, and to one that names a rate limit, are paced.
         """
+        if now_ms < self.turned_away_until_ms:
+            return False
         if self.limit is not None and not self.limit.may_send(now_ms):
             return False
         if self.cold_share is None or not self.is_cold(now_ms):
@@ -280,6 +288,17 @@
         self.by_service.setdefault(server.service_id, {})[server.server_id] = added
         return True
 
+    def mark_leaving(self, view: ServerView) -> bool:
+        """Send no more requests to this incarnation of a server; return whether that is news.
+
+        Its registration may say for some time, or until it ends, that it is ready.
+        """
+        if view.leaving:
+            return False
+        view.leaving = True
+        self.epoch += 1
+        return True
+
     def mark_lapsed(self, server_id: str, remove_at_ms: float) -> None:
         """Use a server whose registration has lapsed until a time, unless it registers again."""
         view = self.views.get(server_id)
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -143,6 +143,7 @@
     """An attempt that this instance passes on for a peer, and when it is given up."""
 
     forwarded: models.ForwardedAttempt
+    view: server_views.ServerView
     due_ms: float
 
 
--- a/rhubarbspar/platform/const.py
+++ b/rhubarbspar/platform/const.py
@@ -10,6 +10,7 @@
 HEADER_EXPECTED_SERVER: typing.Final = b'x-rhubarbspar-target-instance'
 HEADER_LOAD: typing.Final = b'x-rhubarbspar-server-load'
 # Requests a second that a backend server takes from all instances together.
+HEADER_LEAVING: typing.Final = b'server-leaving'
 HEADER_RATE_LIMIT: typing.Final = b'server-limit'
 # Rises each time the store was restored from an older copy of its records.
 HEADER_STORE_ERA: typing.Final = b'store-era'
@@ -39,3 +40,4 @@
 STATUS_NOT_FOUND: typing.Final = 404
 STATUS_COMPACTED: typing.Final = 410
 STATUS_OK: typing.Final = 200
+STATUS_UNAVAILABLE: typing.Final = 503
--- a/rhubarbspar/platform/requests.py
+++ b/rhubarbspar/platform/requests.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import math
+import typing
 from urllib import parse as urls
 
 from rhubarbspar import const as package_const
@@ -22,6 +23,9 @@
 )
 _LOAD_REPORT_FIELDS = 3
 _RETRY_AFTER_DECIMALS = 3
+_LEAVING: typing.Final = b'1'
+# A server that names a longer time is asked again after this one.
+_RETRY_AFTER_MAX_MS: typing.Final = 300_000
 _FINGERPRINT_SIZE_BYTES = 12
 
 
@@ -105,6 +109,28 @@
     return limit_per_s if 0 <= limit_per_s < math.inf else None
 
 
+def decode_leaving(response: messages.Response) -> bool:
+    """Return whether a response says that its server is leaving."""
+    return messages.find_header(response.headers, const.HEADER_LEAVING) == _LEAVING
+
+
+def decode_retry_after_ms(response: messages.Response) -> float | None:
+    """Return for how long a server that is unavailable wants no requests, milliseconds.
+
+    ``None`` if the response does not say so, or names no finite number of at least 0.
+    """
+    if response.status != const.STATUS_UNAVAILABLE:
+        return None
+    raw = messages.find_header(response.headers, const.HEADER_RETRY_AFTER)
+    try:
+        seconds = math.nan if raw is None else float(raw)
+    except ValueError:
+        return None
+    if not 0 <= seconds < math.inf:
+        return None
+    return min(seconds * package_const.MS_PER_S, _RETRY_AFTER_MAX_MS)
+
+
 def encode_relayed_response(response: messages.Response) -> messages.Response:
     """Return a backend server's response without its hop-by-hop headers, for the caller."""
     headers = tuple(messages.end_to_end(response.headers))
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -74,13 +74,23 @@
 
 
 class Deployment:
-    """A store, a backend server and a gateway on loopback ports; more gateways can be added."""
+    """A store, a backend server and a gateway on loopback ports; more gateways can be added.
+
+    Attributes
+    ----------
+    received
+        Requests that the server has received.
+    server_status, server_headers
+        Status and headers of its responses.
+    """
 
     def __init__(self, loop, tmp_path):
         """Start all parts."""
         self.loop = loop
         self.store = standin.Store(loop.reactor)
         self.received = []
+        self.server_status = 200
+        self.server_headers = SERVER_HEADERS
         limits = server.Limits(16_384, 1_048_576, 3000, 15_000)
         self._site = server.Site(self._serve, lambda: limits, lambda: 0.0)
         self._port = loop.reactor.listenTCP(0, self._site, interface='127.0.0.1')
@@ -159,4 +169,5 @@
 
     def _serve(self, exchange):
         self.received.append(exchange.request)
-        exchange.respond(messages.Response(200, SERVER_HEADERS, b'in stock'))
+        response = messages.Response(self.server_status, self.server_headers, b'in stock')
+        exchange.respond(response)
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -117,3 +117,21 @@
         assert deployment.store.database.renew(after[1].lease_id, deployment.loop.reactor.seconds())
 
     deployment.loop.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('status', 'notice'), [(200, (b'server-leaving', b'1')), (503, (b'retry-after', b'30'))]
+)
+def test_server_that_asks_for_no_more_requests_gets_none(deployment, status, notice):
+    """Guards against headers of servers that are passed on to callers but not followed."""
+
+    async def scenario():
+        await deployment.until_ready()
+        deployment.server_status = status
+        deployment.server_headers = (*gateway_deployment.SERVER_HEADERS, notice)
+        first = await deployment.call('front', b'/stock/7')
+        assert (first.status, len(deployment.received)) == (status, 1)
+        refused = await deployment.call('front', b'/stock/8')
+        assert (refused.status, len(deployment.received)) == (503, 1)
+
+    deployment.loop.run(scenario())
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -125,3 +125,32 @@
     first = requests.decode_request(REQUEST, 1).fingerprint
     assert first == requests.decode_request(REQUEST, 2).fingerprint
     assert first != requests.decode_request(other, 3).fingerprint
+
+
+@pytest.mark.parametrize(('raw', 'leaving'), [(b'1', True), (b'0', False), (b'yes', False)])
+def test_leaving_is_decoded(raw, leaving):
+    """Guards against requests to a server that leaves, or avoiding one that does not."""
+    response = messages.Response(200, ((b'server-leaving', raw),))
+    assert requests.decode_leaving(response) is leaving
+    assert not requests.decode_leaving(messages.Response(200))
+
+
+@pytest.mark.parametrize(
+    ('status', 'raw', 'retry_after_ms'),
+    [
+        (503, b'2', 2000),
+        (503, b'0.25', 250),
+        (503, b'1e9', 300_000),
+        (503, b'-1', None),
+        (503, b'nan', None),
+        (503, b'inf', None),
+        (503, b'soon', None),
+        (429, b'2', None),
+        (200, b'2', None),
+    ],
+)
+def test_retry_after_of_a_server_is_decoded(status, raw, retry_after_ms):
+    """Guards against ignoring the pause that a server asks for, or one without end."""
+    response = messages.Response(status, ((b'retry-after', raw),))
+    assert requests.decode_retry_after_ms(response) == retry_after_ms
+    assert requests.decode_retry_after_ms(messages.Response(503)) is None
