Keep a silent attempt while no other server can get the request

Callers of an instance that stops got 502 for safe requests that a sound server was working on.

Cause: a silent attempt was cancelled before another server was chosen; if none could get the request, or not in time before the stop, it was refused. Change: the server is chosen first. While there is none, or only ejected ones, the attempt goes on.

The stand-ins of the review name the permitted exposure in their settings.

--- a/review/standins.py
+++ b/review/standins.py
@@ -457,6 +457,8 @@
                 'retryBudgetRatio': 0.2,
                 'retryBudgetSlack': 56,
                 'budgetWindow': '10s',
+                'exposureShare': 0.1,
+                'exposureSlack': 50,
             },
             'provider': {'address': store.address},
         }
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -383,15 +383,21 @@
     attempt: gateway_state.Attempt,
     now_ms: float,
 ) -> list[core_effects.Effect]:
-    """Send a request to another server if permitted, and eject the unresponsive one.
+    """Send a request to another server if one can get it, and eject the unresponsive one.
 
-    The unresponsive server may have run the request.
+    The unresponsive server may have run the request. While no other one can get it, the attempt
+    goes on, since its response may still come.
     """
     view = attempt.view
     broken = events.AttemptEnded(attempt.attempt_number, events.AttemptResult.BROKEN)
     runs_left = pending.run_count + 1 < pending.route.attempts_max
     if not runs_left or pending.send_count >= SENDS_MAX:
         return []
+    choice = placement.choose_server(state, pending, now_ms)
+    if choice is None or choice.view.ejected_until_ms > now_ms:
+        return []
+    if _ends_after_stop(state, pending, choice, now_ms):
+        return []
     if not _may_retry(state, pending, broken, now_ms):
         return []
     outputs = outcomes.record_silence(state, attempt, now_ms)
@@ -405,4 +411,4 @@
     outputs.append(effects.ForgetServer(view.server.server_id))
     outputs.append(core_effects.Log('server_silent', responses.log_fields(pending.request, fields)))
     outputs.append(core_effects.Count(package_const.METRIC_RETRIES, 'silent'))
-    return outputs + _start_attempt(state, pending, now_ms)
+    return outputs + _send(state, pending, choice, now_ms)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -6,6 +6,7 @@
 
 from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
+from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
@@ -221,3 +222,25 @@
     assert fields['reason'] == package_const.REASON_KEY_UNKNOWN
     assert fields['configuration'] == 1
     assert fields['request'] == 'id-1'
+
+
+@pytest.mark.parametrize('trouble', ['gone', 'ejected', 'stop'])
+def test_silent_attempt_goes_on_while_no_other_server_can_get_the_request(gateway, trouble):
+    """Guards against giving up a request that a server works on for a retry that cannot be had."""
+    started = conftest.single_effect(gateway.request(), effects.StartAttempt)
+    (other_id,) = {'stock-1', 'stock-2'} - {started.server.server_id}
+    match trouble:
+        case 'gone':
+            gateway.declare(f'servers/{other_id}', None)
+        case 'ejected':
+            for _ in range(4):
+                gateway.state.servers.views[other_id].ejected_until_ms = gateway.now_ms
+                gateway.state.servers.views[other_id].eject(gateway.now_ms)
+        case 'stop':
+            gateway.reduce(core_events.StopRequested())
+            ends_in_ms = gateway.state.stop_ends_ms - gateway.now_ms
+            gateway.state.lifecycle.stop_requested_ms -= ends_in_ms - 1050
+    outputs = gateway.advance(900)
+    assert not [output for output in outputs if isinstance(output, effects.CancelAttempt)]
+    outputs = gateway.reduce(conftest.ended(started, events.AttemptResult.ANSWERED, status=200))
+    assert conftest.single_effect(outputs, effects.RelayResponse)
