Ignore SIGHUP until the daemon handles it

A process that started while its settings changed ended with -1: the default action of SIGHUP ends it until the handler is installed, after all imports.

Change: the signal is ignored from the first line of the program on.

--- a/rhubarbspar/gateway/__main__.py
+++ b/rhubarbspar/gateway/__main__.py
@@ -3,6 +3,12 @@
 This imports none of the operators' commands.
 """
 
+import signal
+
+# Until the daemon handles SIGHUP, the signal would end the process, and the imports below take much
+# of the start. From the end of the start on, the daemon compares the settings with the file.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import argparse
 import sys
 
