Relay changes of the store in batches that fit into a message

Callers of instances that do not read the store themselves were served by an old configuration for good after another writer had left two large unreadable entries: the changes that a peer lacked were one message, which did not fit into a frame.

Change: changes are relayed in batches of 512 KiB that build on each other; changes of one revision stay together. Contents that no instance can read are neither kept nor relayed, only their keys and revisions.

--- a/rhubarbspar/gateway/store_records.py
+++ b/rhubarbspar/gateway/store_records.py
@@ -47,7 +47,7 @@
         decoded = state.decode(record.key, content, record.revision)
     except exceptions.RhubarbsparError as error:
         # The last readable record of the key stays in force.
-        state.replica.note_change(record)
+        state.replica.note_unreadable(record)
         return [
             core_effects.Log(
                 'record_unreadable',
--- a/rhubarbspar/gateway/store_relay.py
+++ b/rhubarbspar/gateway/store_relay.py
@@ -14,7 +14,10 @@
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_records
+from rhubarbspar.gateway import store_replica
 
+# Contents of the changes in one message, which has to fit into a frame.
+BATCH_MAX_BYTES: typing.Final = 524_288
 _TREE: typing.Final = (fleet.Relation.CHILD, fleet.Relation.PARENT)
 
 
@@ -160,18 +163,25 @@
 def _send_changes(
     state: gateway_state.State, base_revision: int, receiver_ids: list[str], now_ms: float
 ) -> list[core_effects.Effect]:
-    """Return the effect that sends the changes after a revision, if there are any."""
+    """Return the effects that send the changes after a revision, if there are any."""
     if not receiver_ids:
         return []
-    changes = state.replica.changes_after(base_revision)
-    if not changes:
+    batches = state.replica.change_batches(base_revision, BATCH_MAX_BYTES)
+    if not batches:
         return []
     for receiver_id in receiver_ids:
         state.fleet.peers[receiver_id].record_sent_changes(state.replica.revision, now_ms)
+    return [_relay_batch(batch, receiver_ids) for batch in batches]
+
+
+def _relay_batch(
+    batch: store_replica.ChangeBatch, receiver_ids: list[str]
+) -> core_effects.SendMessage | core_effects.Multicast:
     records = tuple(
-        messages.RelayedRecord(record.key, record.revision, record.content) for record in changes
+        messages.RelayedRecord(record.key, record.revision, record.content)
+        for record in batch.records
     )
-    relayed = messages.StoreNews(base_revision, state.replica.revision, records)
+    relayed = messages.StoreNews(batch.base_revision, batch.revision, records)
     if len(receiver_ids) == 1:
-        return [core_effects.SendMessage(receiver_ids[0], relayed)]
-    return [core_effects.Multicast(tuple(receiver_ids), relayed)]
+        return core_effects.SendMessage(receiver_ids[0], relayed)
+    return core_effects.Multicast(tuple(receiver_ids), relayed)
--- a/rhubarbspar/gateway/store_replica.py
+++ b/rhubarbspar/gateway/store_replica.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import itertools
 import math
 import operator
 import typing
@@ -22,6 +23,15 @@
 RESTORE_GRACE_MS: typing.Final = 2200
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeBatch:
+    """Changes that lead from one revision to another."""
+
+    base_revision: int
+    revision: int
+    records: tuple[events.RecordRead, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class StoreReplica:
     """Records and tombstones by key, and how far they are known to be current.
@@ -118,9 +128,42 @@
         Records that were only written again are left out.
         """
         newer = (record for record in self.records.values() if record.revision > revision)
-        return tuple(
-            record for record in newer if self.refreshed.get(record.key, record.revision) > revision
-        )
+        changed = (record for record in newer if self._changed_at(record) > revision)
+        return tuple(sorted(changed, key=self._changed_at))
+
+    def change_batches(self, revision: int, bytes_max: int) -> tuple[ChangeBatch, ...]:
+        """Return the changes since a revision in batches that build on each other.
+
+        Parameters
+        ----------
+        bytes_max
+            Size of the contents of a batch. Only the changes of one revision, which stay together,
+            may be larger.
+        """
+        batches: list[ChangeBatch] = []
+        records: list[events.RecordRead] = []
+        base_revision = revision
+        size = 0
+        for at_revision, group in itertools.groupby(
+            self.changes_after(revision), key=self._changed_at
+        ):
+            changed = tuple(group)
+            added = sum(len(record.content or b'') for record in changed)
+            if records and size + added > bytes_max:
+                batches.append(ChangeBatch(base_revision, at_revision - 1, tuple(records)))
+                base_revision = at_revision - 1
+                records = []
+                size = 0
+            records.extend(changed)
+            size += added
+        if records:
+            batches.append(ChangeBatch(base_revision, self.revision, tuple(records)))
+        return tuple(batches)
+
+    def note_unreadable(self, record: events.RecordRead) -> None:
+        """Note a change to a content that no instance can read; it is kept without the content."""
+        self.records[record.key] = dataclasses.replace(record, content=b'')
+        self.note_change(record)
 
     def note_change(self, record: events.RecordRead) -> None:
         """Note that the content of a record has changed."""
@@ -150,6 +193,10 @@
             self.lost_removed_ms = now_ms + RESTORE_GRACE_MS
         self.revision = max(self.revision, revision)
 
+    def _changed_at(self, record: events.RecordRead) -> int:
+        """Return the revision of the last change of a record that was more than a refresh."""
+        return self.refreshed.get(record.key, record.revision)
+
     def _existing(self) -> list[events.RecordRead]:
         """Return the records without the tombstones."""
         return [record for record in self.records.values() if record.content is not None]
