Count the results of a child that changes its relay once

A good version could be rejected early in a large fleet whose links change: results of an instance that reports to another relay were kept by the former one as well.

Cause: the former relay only saw the child's silence. Change: kept results of a process that others report as live are removed.

--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -223,6 +223,7 @@
 
 def _forget_replaced_sums(state: gateway_state.State, now_ms: float) -> None:
     """Remove the sums of peers for which other peers speak now."""
+    _forget_moved_reports(state, now_ms)
     if state.fleet.is_relay and now_ms - state.fleet.relay_changed_ms > const.RELAY_CHANGE_MS:
         state.quotas.forget_peers_except(_summed_ids(state), now_ms)
 
@@ -241,6 +242,13 @@
             evidence.forget_peer(peer_id)
 
 
+def _forget_moved_reports(state: gateway_state.State, now_ms: float) -> None:
+    """Remove the kept results of processes that report to another relay now."""
+    for peer_id, peer in state.fleet.peers.items():
+        if not peer.is_heard(now_ms) and peer.is_live(now_ms):
+            state.rollouts.evidence.forget_former(peer_id, peer.member.incarnation)
+
+
 def _summed_ids(state: gateway_state.State) -> set[str]:
     return {
         peer_id
--- a/rhubarbspar/gateway/version_evidence.py
+++ b/rhubarbspar/gateway/version_evidence.py
@@ -148,6 +148,10 @@
         ended = tuple(dataclasses.replace(use, running=0) for use in known.counted)
         self.former[_Origin(peer_id, known.incarnation)] = ended
 
+    def forget_former(self, peer_id: str, incarnation: str) -> None:
+        """Forget the last report of a silent process that another peer speaks for now."""
+        self.former.pop(_Origin(peer_id, incarnation), None)
+
     def forget_peer(self, peer_id: str) -> None:
         """Forget the report of a peer whose results another peer reports."""
         self.peers.pop(peer_id, None)
--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -322,3 +322,29 @@
     ]
     assert all(rejected)
     assert exposed <= EXPOSURE_RATIO * sent + EXPOSURE_ALLOWANCE
+
+
+def test_results_of_a_child_that_reports_to_another_relay_count_once():
+    """Guards against a good version that is rejected since two relays report the same results."""
+    fleet = make_fleet(size=20)
+    for _ in range(5):
+        send_everywhere(fleet, 200)
+    fleet.run(3000)
+    expected = sum(
+        counts.sent
+        for instance in fleet.instances.values()
+        for counts in instance.state.rollouts.evidence.local_counts.values()
+    )
+    child_id, child = next(
+        (name, instance)
+        for name, instance in fleet.instances.items()
+        if instance.state.fleet.relay_id != name
+    )
+    relay_id = child.state.fleet.relay_id
+    fleet.cut_pairs = {frozenset((child_id, relay_id))}
+    fleet.run(8000)
+    assert child.state.fleet.relay_id != relay_id
+    for instance in fleet.instances.values():
+        (rollout,) = instance.state.rollouts.active.values()
+        uses = instance.state.rollouts.evidence.of_request('stock', rollout.request.revision)
+        assert sum(use.sent for use in uses) == expected
