Give each gateway of the tests a loopback host of its own

A test failed once beside busy plays: 'Couldn't listen on 127.0.0.1:34117'. The port was found free and bound later, and an outgoing connection had taken it meanwhile.

Change: ports are found on a host that only one gateway uses; outgoing connections have their ports on 127.0.0.1.

Result: the tests with sockets pass; the failure itself was not seen here.

--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -1,6 +1,8 @@
 """A deployment on loopback ports: a store, a backend server and gateways in one process."""
 
+import itertools
 import json
+import os
 import pathlib
 import re
 import socket
@@ -27,11 +29,26 @@
 SERVER_HEADERS = ((b'x-seal', b'1'), (b'x-rhubarbspar-server-load', b'1,0,3'))
 
 
-def free_address():
-    """Return a loopback address with a free port."""
+_HOST_NUMBERS = itertools.count(1)
+_HOSTS_PER_PROCESS = 250
+
+
+def own_host():
+    """Return a loopback host that no other test and no outgoing connection uses."""
+    number = next(_HOST_NUMBERS) % _HOSTS_PER_PROCESS + 1
+    high, low = divmod(os.getpid() % 2**14, 2**8)
+    return f'127.{64 + high}.{low}.{number}'
+
+
+def free_address(host='127.0.0.1'):
+    """Return an address with a free port of a host.
+
+    Only on a host of its own the port stays free until it is used: outgoing connections take theirs
+    on 127.0.0.1.
+    """
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+        probe.bind((host, 0))
+        return f'{host}:{probe.getsockname()[1]}'
 
 
 class Gateway:
@@ -47,7 +64,10 @@
 
     def __init__(self, instance_id, store_address, reactor, folder):
         """Start the gateway."""
-        self.addresses = {name: free_address() for name in ('front', 'ready', 'directory')}
+        self._host = own_host()
+        self.addresses = {
+            name: free_address(self._host) for name in ('front', 'ready', 'directory')
+        }
         path = folder / f'{instance_id}.jsonc'
         path.write_text(self._settings(instance_id, store_address))
         self.daemon = gateway_daemon.Daemon(str(path), settings.load(path), reactor)
@@ -61,16 +81,16 @@
             'listen.ready': json.dumps(self.addresses['ready']),
             'listen.directory': json.dumps(self.addresses['directory']),
             'provider.address': json.dumps(store_address),
-            'ip': '127.0.0.1',
-            'internalPorts.0': free_address().rpartition(':')[2],
-            'internalPorts.1': free_address().rpartition(':')[2],
+            'ip': self._host,
+            'internalPorts.0': free_address(self._host).rpartition(':')[2],
+            'internalPorts.1': free_address(self._host).rpartition(':')[2],
         }
         text = re.sub(
             r'{{([\w.]+)(?:\|json)?}}',
             lambda match: placeholders[match[1]],
             pathlib.Path(test_settings.TEMPLATE).read_text(),
         )
-        return text.replace('127.0.0.1:9464', free_address())
+        return text.replace(f'{self._host}:9464', free_address(self._host))
 
 
 class Deployment:
