Do not take a version on trial for the old one

Callers could get a new version for all requests of an instance for good: one that starts while the servers of the old version have not registered again, or before the rollout request is known, recorded the new version as the one that serves without a rollout.

Cause: missing registrations counted as evidence that no other version exists, found by reading. Change: a version that is requested is never recorded as the old one, and an assumed one gives way to the request. While only servers of a rejected version are known, requests are refused.

Evidence: the three new tests failed before and pass now.

--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -20,7 +20,8 @@
 from rhubarbspar.gateway import store_replica
 from rhubarbspar.gateway import version_evidence
 
-
+# Stands for no version at all; no server has it.
+NO_VERSION: typing.Final = ''
 # Once the candidate gets all requests, the rollout completes when the old version has had none for
 # this long.
 OLD_VERSION_IDLE_MS: typing.Final = 700
@@ -124,6 +125,9 @@
         if known is not None and known.request.revision == request.revision:
             return
         if known is None or not _is_written_again(known, request, now_ms):
+            if self.stable_versions.get(request.service_id) == request.version:
+                # It was only assumed, before the request was known; a recorded end sets it again.
+                self.stable_versions.pop(request.service_id)
             self.active[request.service_id] = Rollout(request, now_ms, initial_credit)
             return
         self._adopt_revision(known, request, now_ms)
@@ -172,14 +176,18 @@
         ----------
         versions
             Number of servers by version; not empty.
+
+        Returns
+        -------
+        str
+            ``NO_VERSION`` if there are only servers of a rejected version.
         """
         stable = self.stable_version(service_id, versions)
         rollout = self.active.get(service_id)
         if rollout is None or rollout.request.version == stable:
             return stable
         candidate = rollout.request.version
-        verdict = _verdict(rollout.request)
-        if rollout.rejected or verdict in self.verdicts or candidate not in versions:
+        if self._is_rejected(rollout) or candidate not in versions:
             return stable
         rollout.candidate_credit = min(1.0, rollout.candidate_credit) + self.candidate_share(
             rollout, now_ms
@@ -192,7 +200,9 @@
     def stable_version(self, service_id: str, versions: abc.Mapping[str, int]) -> str:
         """Return the version that serves without a rollout.
 
-        If none is known, it is the version of most servers, without the requested version.
+        If none is known, it is the version of most servers, without the requested version. While
+        only servers of the requested version are known, that one serves unless it is rejected.
+        Others may still register, after a restart of this instance or an outage of the store.
 
         Parameters
         ----------
@@ -204,10 +214,11 @@
             return known
         rollout = self.active.get(service_id)
         requested = None if rollout is None else rollout.request.version
-        others = sorted(version for version in versions if version != requested) or sorted(versions)
+        others = sorted(version for version in versions if version != requested)
+        if not others and rollout is not None:
+            return NO_VERSION if self._is_rejected(rollout) else rollout.request.version
         chosen = max(others, key=versions.__getitem__)
-        self.stable_versions[service_id] = chosen
-        return chosen
+        return self.stable_versions.setdefault(service_id, chosen) if known is None else chosen
 
     def result_key(
         self, server: models.BackendServer, route_id: str
@@ -293,6 +304,9 @@
             due.append(models.RolloutStatus(service_id, rollout.request.version, phase, revision))
         return tuple(due)
 
+    def _is_rejected(self, rollout: Rollout) -> bool:
+        return rollout.rejected or _verdict(rollout.request) in self.verdicts
+
     def _phase(self, rollout: Rollout, now_ms: float) -> str:
         """Return the phase of a rollout as this instance knows it."""
         if rollout.rejected:
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -106,3 +106,40 @@
     versions, statuses = serve(gateway, 9000)
     assert set(versions) == {'v1'}
     assert not statuses
+
+
+def test_old_version_serves_again_once_its_servers_register(gateway):
+    """Guards against an instance that takes a new version for the old one for good.
+
+    It starts while the servers of the old version have not registered again.
+    """
+    for number in (1, 2):
+        gateway.declare(f'servers/stock-{number}', None)
+    start_rollout(gateway)
+    assert set(serve(gateway, 100)[0]) == {'v2'}
+    gateway.add_server('stock-1', sequence=2)
+    versions, _ = serve(gateway, 1000)
+    assert versions.count('v2') <= 0.1 * len(versions)
+
+
+def test_version_that_was_assumed_gives_way_to_the_request(gateway):
+    """Guards against a new version that gets all requests since it was known before its request."""
+    gateway.declare('servers/stock-2', None)
+    for number in range(3):
+        gateway.add_server(f'new-{number}', version='v2')
+    assert set(serve(gateway, 100)[0]) == {'v2'}
+    request_rollout(gateway)
+    versions, _ = serve(gateway, 1000)
+    assert versions.count('v2') <= 0.1 * len(versions)
+
+
+def test_rejected_version_gets_no_requests_while_no_other_one_is_known(gateway):
+    """Guards against requests to a rejected version while the others have not registered again."""
+    start_rollout(gateway)
+    gateway.declare('status/stock', models.RolloutStatus('stock', 'v2', 'rolled_back', 0))
+    assert set(serve(gateway, 100)[0]) == {'v1'}
+    for number in (1, 2):
+        gateway.declare(f'servers/stock-{number}', None)
+    assert conftest.single_effect(gateway.request(), effects.Refuse).status == 503
+    gateway.add_server('stock-1', sequence=2)
+    assert set(serve(gateway, 100)[0]) == {'v1'}
