--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -92,3 +92,29 @@
     outputs = gateway.reduce(conftest.ended(started, events.AttemptResult.BROKEN))
     assert not [output for output in outputs if isinstance(output, effects.StartAttempt)]
     assert conftest.single_effect(outputs, effects.Refuse)
+
+
+@pytest.mark.parametrize(('delay_ms', 'is_crash'), [(4000, True), (20_000, False)])
+def test_registration_of_the_next_process_confirms_a_crash(gateway, delay_ms, is_crash):
+    """Guards against crashes that no check sees, as behind lost links of this instance.
+
+    A process that ends much later has not crashed under the request.
+    """
+    started = conftest.single_effect(gateway.request('/orders/1'), effects.StartAttempt)
+    server_id = started.server.server_id
+    gateway.reduce(conftest.ended(started, events.AttemptResult.BROKEN))
+    gateway.reduce(events.ProbeEnded(server_id, opened=True))
+    gateway.now_ms += delay_ms
+    gateway.add_server(server_id, service_id='orders', started_unix_ms=2000)
+    found = gateway.state.crashes.recent_crashes(gateway.now_ms)
+    assert [crash.incarnation for crash in found] == [f'{server_id}.1000'] * is_crash
+
+
+def test_planned_end_of_a_server_confirms_no_crash(gateway):
+    """Guards against requests refused because a server left after it had broken a connection."""
+    started = conftest.single_effect(gateway.request('/orders/1'), effects.StartAttempt)
+    server_id = started.server.server_id
+    gateway.reduce(conftest.ended(started, events.AttemptResult.BROKEN))
+    gateway.add_server(server_id, service_id='orders', draining=True, sequence=2)
+    gateway.declare(f'servers/{server_id}', None)
+    assert not gateway.state.crashes.recent_crashes(gateway.now_ms)
