Do not take the planned restart of a server for a crash

A harmless request could be refused after two servers that had broken its connection were replaced as planned under the same id.

Change: the registration of a next process confirms a crash only if the former one was not draining. Evidence: the new test failed before and passes now.

--- a/rhubarbspar/gateway/store_records.py
+++ b/rhubarbspar/gateway/store_records.py
@@ -133,7 +133,7 @@
     known = state.servers.views.get(server.server_id)
     outputs: list[core_effects.Effect] = []
     if state.servers.declare(server, now_ms):
-        if known is not None:
+        if known is not None and not known.server.draining:
             outputs.extend(crash_checks.note_ended(state, known.server, now_ms))
         server_limits.start_cold_share(state, state.servers.views[server.server_id], now_ms)
         outputs.append(effects.ForgetServer(server.server_id))
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -110,11 +110,15 @@
     assert [crash.incarnation for crash in found] == [f'{server_id}.1000'] * is_crash
 
 
-def test_planned_end_of_a_server_confirms_no_crash(gateway):
+@pytest.mark.parametrize('is_replaced', [False, True])
+def test_planned_end_of_a_server_confirms_no_crash(gateway, is_replaced):
     """Guards against requests refused because a server left after it had broken a connection."""
     started = conftest.single_effect(gateway.request('/orders/1'), effects.StartAttempt)
     server_id = started.server.server_id
     gateway.reduce(conftest.ended(started, events.AttemptResult.BROKEN))
     gateway.add_server(server_id, service_id='orders', draining=True, sequence=2)
-    gateway.declare(f'servers/{server_id}', None)
+    if is_replaced:
+        gateway.add_server(server_id, service_id='orders', started_unix_ms=2000)
+    else:
+        gateway.declare(f'servers/{server_id}', None)
     assert not gateway.state.crashes.recent_crashes(gateway.now_ms)
