Decode numbers in headers of servers in one place

The parser of Retry-After repeated the one of the rate limit, and the comment of the rate limit's header stood above another constant. Behaviour is unchanged; the choice of the stable version is written in plain steps.

--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -218,7 +218,9 @@
         if not others and rollout is not None:
             return NO_VERSION if self._is_rejected(rollout) else rollout.request.version
         chosen = max(others, key=versions.__getitem__)
-        return self.stable_versions.setdefault(service_id, chosen) if known is None else chosen
+        if known is None:
+            self.stable_versions[service_id] = chosen
+        return chosen
 
     def result_key(
         self, server: models.BackendServer, route_id: str
--- a/rhubarbspar/platform/const.py
+++ b/rhubarbspar/platform/const.py
@@ -9,8 +9,9 @@
 # The only backend server that may run the request; another one answers STATUS_MISDIRECTED.
 HEADER_EXPECTED_SERVER: typing.Final = b'x-rhubarbspar-target-instance'
 HEADER_LOAD: typing.Final = b'x-rhubarbspar-server-load'
-# Requests a second that a backend server takes from all instances together.
+# Says that a backend server is leaving.
 HEADER_LEAVING: typing.Final = b'server-leaving'
+# Requests a second that a backend server takes from all instances together.
 HEADER_RATE_LIMIT: typing.Final = b'server-limit'
 # Rises each time the store was restored from an older copy of its records.
 HEADER_STORE_ERA: typing.Final = b'store-era'
--- a/rhubarbspar/platform/requests.py
+++ b/rhubarbspar/platform/requests.py
@@ -101,12 +101,7 @@
 
     ``None`` if it names none, or no finite number of at least 0.
     """
-    raw = messages.find_header(response.headers, const.HEADER_RATE_LIMIT)
-    try:
-        limit_per_s = math.nan if raw is None else float(raw)
-    except ValueError:
-        return None
-    return limit_per_s if 0 <= limit_per_s < math.inf else None
+    return _decode_number(response, const.HEADER_RATE_LIMIT)
 
 
 def decode_leaving(response: messages.Response) -> bool:
@@ -121,12 +116,8 @@
     """
     if response.status != const.STATUS_UNAVAILABLE:
         return None
-    raw = messages.find_header(response.headers, const.HEADER_RETRY_AFTER)
-    try:
-        seconds = math.nan if raw is None else float(raw)
-    except ValueError:
-        return None
-    if not 0 <= seconds < math.inf:
+    seconds = _decode_number(response, const.HEADER_RETRY_AFTER)
+    if seconds is None:
         return None
     return min(seconds * package_const.MS_PER_S, _RETRY_AFTER_MAX_MS)
 
@@ -147,6 +138,16 @@
     return messages.Response(refuse.status, tuple(headers), body)
 
 
+def _decode_number(response: messages.Response, name: bytes) -> float | None:
+    """Return the number in a header; ``None`` without a finite number of at least 0."""
+    raw = messages.find_header(response.headers, name)
+    try:
+        number = math.nan if raw is None else float(raw)
+    except ValueError:
+        return None
+    return number if 0 <= number < math.inf else None
+
+
 def _header_text(request: messages.Request, name: bytes) -> str | None:
     raw = messages.find_header(request.headers, name)
     return None if raw is None else raw.decode('latin-1').strip()
