Move checks of leaving servers and peers' results into shared pieces

Whether a server may get requests was asked in two places with its own line for servers that leave; the registry's check has it now. Both callers that confirm crashes by a registration left out draining servers; the callee does. Behaviour is unchanged.

--- a/rhubarbspar/gateway/crash_checks.py
+++ b/rhubarbspar/gateway/crash_checks.py
@@ -63,7 +63,12 @@
 def note_ended(
     state: gateway_state.State, server: models.BackendServer, now_ms: float
 ) -> list[core_effects.Effect]:
-    """Count broken connections of a server whose process has ended, by its registration."""
+    """Count broken connections of a server whose process has ended, by its registration.
+
+    A server that was draining has ended as planned.
+    """
+    if server.draining:
+        return []
     return _confirm(state, server.incarnation, now_ms - crashes.SUSPICION_MS, now_ms)
 
 
--- a/rhubarbspar/gateway/forwards.py
+++ b/rhubarbspar/gateway/forwards.py
@@ -83,9 +83,7 @@
     if state.is_stopping or not state.links.are_up:
         return events.AttemptResult.NOT_FORWARDED
     view = state.servers.views.get(forwarded.server_id)
-    if view is None or not state.declared.may_get_requests(view.server):
-        return events.AttemptResult.WRONG_INSTANCE
-    if view.leaving:
+    if view is None or not state.declared.may_get_requests(view):
         return events.AttemptResult.WRONG_INSTANCE
     if now_ms < view.turned_away_until_ms:
         # Another peer may reach a server that has not turned it away.
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -23,6 +23,7 @@
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_relay
 from rhubarbspar.gateway import topology
+from rhubarbspar.gateway import version_exchange
 
 
 def receive_heartbeat(
@@ -182,7 +183,7 @@
     outputs = _update_relay(state, now_ms)
     state.quotas.expire_peers(now_ms)
     state.rollouts.heard_share = state.fleet.live_count(now_ms) / state.fleet.registered_count
-    _retire_silent_reports(state, now_ms)
+    version_exchange.retire_silent(state, now_ms)
     if not state.fleet.is_mesh:
         _forget_replaced_sums(state, now_ms)
     outputs.extend(topology.connection_effects(state.fleet, now_ms))
@@ -223,32 +224,11 @@
 
 def _forget_replaced_sums(state: gateway_state.State, now_ms: float) -> None:
     """Remove the sums of peers for which other peers speak now."""
-    _forget_moved_reports(state, now_ms)
+    version_exchange.forget_moved(state, now_ms)
     if state.fleet.is_relay and now_ms - state.fleet.relay_changed_ms > const.RELAY_CHANGE_MS:
         state.quotas.forget_peers_except(_summed_ids(state), now_ms)
 
 
-def _retire_silent_reports(state: gateway_state.State, now_ms: float) -> None:
-    """Keep the results of silent peers, unless another peer speaks for them."""
-    evidence = state.rollouts.evidence
-    for peer_id in tuple(evidence.peers):
-        peer = state.fleet.peers.get(peer_id)
-        if peer is not None and peer.is_heard(now_ms):
-            continue
-        is_child = peer is not None and peer.relation == fleet.Relation.CHILD
-        if state.fleet.is_mesh or is_child:
-            evidence.retire_peer(peer_id)
-        else:
-            evidence.forget_peer(peer_id)
-
-
-def _forget_moved_reports(state: gateway_state.State, now_ms: float) -> None:
-    """Remove the kept results of processes that report to another relay now."""
-    for peer_id, peer in state.fleet.peers.items():
-        if not peer.is_heard(now_ms) and peer.is_live(now_ms):
-            state.rollouts.evidence.forget_former(peer_id, peer.member.incarnation)
-
-
 def _summed_ids(state: gateway_state.State) -> set[str]:
     return {
         peer_id
@@ -274,7 +254,7 @@
         state.quotas.forget_peers_except({peer_id}, now_ms)
     elif not state.fleet.is_mesh:
         _forget_failed_relays(state, peer, heartbeat, now_ms)
-    _apply_version_results(state, peer, heartbeat)
+    version_exchange.apply_report(state, peer, heartbeat)
     limit_news = state.load_reports.apply(
         heartbeat.loads, state.servers.views, now_ms, is_child=is_child
     )
@@ -287,24 +267,6 @@
     return outputs
 
 
-def _apply_version_results(
-    state: gateway_state.State, peer: fleet.Peer, heartbeat: messages.Heartbeat
-) -> None:
-    """Apply the results of versions that a peer reports, and keep those from before its restart.
-
-    In a tree, the children of a relay that restarts report their results to its successor.
-    """
-    evidence = state.rollouts.evidence
-    peer_id = peer.member.instance_id
-    speaks_for_itself = state.fleet.is_mesh or peer.relation == fleet.Relation.CHILD
-    if speaks_for_itself and evidence.is_other_incarnation(peer_id, heartbeat.incarnation):
-        evidence.retire_peer(peer_id)
-    if peer.relation == fleet.Relation.PARENT:
-        # The sums of a former relay are part of those of the present one.
-        evidence.peers.clear()
-    evidence.apply_report(peer_id, heartbeat.incarnation, heartbeat.versions)
-
-
 def _forget_failed_relays(
     state: gateway_state.State, reporter: fleet.Peer, heartbeat: messages.Heartbeat, now_ms: float
 ) -> None:
@@ -373,7 +335,7 @@
         state.replica.directly_reachable,
         state.is_stopping,
         accounts,
-        _version_results(state, relation, child_id),
+        version_exchange.results_for(state, relation, child_id),
         tuple(sorted(state.rollouts.verdicts, key=repr)),
         state.fleet.relay_id,
         state.quotas.series_of(child_id) if child_id else 0,
@@ -405,22 +367,6 @@
             return load_reports.make_messages(reports.branch, now_ms)
 
 
-def _version_results(
-    state: gateway_state.State, relation: fleet.Relation, child_id: str
-) -> tuple[messages.VersionResults, ...]:
-    """Return the results of versions that a peer with a relation lacks."""
-    match relation:
-        case fleet.Relation.NONE:
-            return ()
-        case fleet.Relation.CHILD:
-            peer_ids = state.rollouts.evidence.peers.keys() - {child_id}
-            return state.rollouts.report_with(peer_ids, with_former=True)
-        case _:
-            child_ids = state.fleet.related_peers(fleet.Relation.CHILD)
-            # In a mesh, every instance keeps the results of those that have ended itself.
-            return state.rollouts.report_with(child_ids, with_former=not state.fleet.is_mesh)
-
-
 def _write_due_statuses(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Return the writes of rollout progress that are due; only the coordinator writes."""
     if not state.rollouts.active or not state.replica.directly_reachable or state.is_stopping:
--- a/rhubarbspar/gateway/placement.py
+++ b/rhubarbspar/gateway/placement.py
@@ -148,7 +148,7 @@
 ) -> bool:
     """Return whether a server is neither leaving nor evacuated, and in a permitted region."""
     server = view.server
-    if view.leaving or not state.declared.may_get_requests(server):
+    if not state.declared.may_get_requests(view):
         return False
     region = state.network.regions.get(server.failure_domain, '')
     if key.account_regions and region not in key.account_regions:
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -52,9 +52,14 @@
     evacuation_epoch: int = 0
     rollout_statuses: dict[str, models.RolloutStatus] = dataclasses.field(default_factory=dict)
 
-    def may_get_requests(self, server: models.BackendServer) -> bool:
-        """Return whether a server is neither draining nor in an evacuated failure domain."""
-        return not server.draining and server.failure_domain not in self.evacuated_domains
+    def may_get_requests(self, view: server_views.ServerView) -> bool:
+        """Return whether a server is neither leaving nor in an evacuated failure domain.
+
+        It may say in its registration or in its responses that it is leaving.
+        """
+        if view.leaving or view.server.draining:
+            return False
+        return view.server.failure_domain not in self.evacuated_domains
 
 
 @dataclasses.dataclass(slots=True)
--- a/rhubarbspar/gateway/store_records.py
+++ b/rhubarbspar/gateway/store_records.py
@@ -133,7 +133,7 @@
     known = state.servers.views.get(server.server_id)
     outputs: list[core_effects.Effect] = []
     if state.servers.declare(server, now_ms):
-        if known is not None and not known.server.draining:
+        if known is not None:
             outputs.extend(crash_checks.note_ended(state, known.server, now_ms))
         server_limits.start_cold_share(state, state.servers.views[server.server_id], now_ms)
         outputs.append(effects.ForgetServer(server.server_id))
@@ -190,9 +190,7 @@
     if now_ms < grace_until_ms and is_alive and not view.server.draining:
         state.servers.mark_lapsed(server_id, grace_until_ms + servers.LAPSE_MARGIN_MS)
         return [core_effects.Log('server_lapsed', (('server', server_id),))]
-    ended: list[core_effects.Effect] = []
-    if not view.server.draining:
-        ended = crash_checks.note_ended(state, view.server, now_ms)
+    ended = crash_checks.note_ended(state, view.server, now_ms)
     return ended + _forget_server(state, server_id, 'removed')
 
 
