Reject load reports with numbers that are too long

A server whose load report has a number of 5,000 digits made the decoder raise, and one of 31 digits would have been passed on to peers, whose codec refuses such a heartbeat.

Change: counts have at most nine digits; longer ones make the report malformed, which counts as none. Evidence: two new cases of the existing test failed before and pass now. Ten entries at the limits of what is accepted are followed through the choice of a server and the messages to peers; all pass on the code before as well.

--- a/rhubarbspar/platform/requests.py
+++ b/rhubarbspar/platform/requests.py
@@ -22,6 +22,8 @@
     )
 )
 _LOAD_REPORT_FIELDS = 3
+# Longer counts cannot be sent to peers.
+_COUNT_DIGITS_MAX: typing.Final = 9
 _RETRY_AFTER_DECIMALS = 3
 _LEAVING: typing.Final = b'1'
 # A server that names a longer time is asked again after this one.
@@ -90,7 +92,9 @@
     """Return the load that a response reports, or ``None`` if it is absent or malformed."""
     raw = messages.find_header(response.headers, const.HEADER_LOAD)
     parts = [] if raw is None else raw.split(b',')
-    if len(parts) != _LOAD_REPORT_FIELDS or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != _LOAD_REPORT_FIELDS:
+        return None
+    if not all(part.strip().isdigit() and len(part) <= _COUNT_DIGITS_MAX for part in parts):
         return None
     running, waiting, slots = (int(part) for part in parts)
     return events.LoadReport(running, waiting, slots)
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -4,6 +4,10 @@
 
 import pytest
 
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import models
+from rhubarbspar.peers import codec
+from rhubarbspar.peers import registry
 from rhubarbspar.platform import const
 from tests.gateway import deployment as gateway_deployment
 
@@ -57,6 +61,19 @@
     'long text': entry(version='v' * 500_000),
     'list as a state': entry(state=['ready']),
 }
+# Entries at the limits of what is accepted.
+EXTREME_ENTRIES = {
+    'most slots': entry(slots=1_000_000),
+    'fewest slots': entry(slots=-1_000_000),
+    'highest sequence': entry(seqNo=2**63 - 1),
+    'lowest sequence': entry(seqNo=1 - 2**63),
+    'latest start': entry(born=2**63 - 1),
+    'earliest start': entry(born=1 - 2**63),
+    'longest cold period': entry(coldRemaining='1000000000000s'),
+    'unknown zone': entry(zone='nowhere'),
+    'name of other letters': entry(version='\u7248\u672c', zone='\u00e9'),
+    'long name': entry(version='v' * 200),
+}
 MEMBER = {
     'instance_id': 'odd',
     'incarnation': 'a',
@@ -118,6 +135,33 @@
     deployment.loop.run(scenario())
 
 
+@pytest.mark.parametrize('name', EXTREME_ENTRIES)
+def test_extreme_entry_stops_neither_requests_nor_messages_to_peers(deployment, name):
+    """Guards against an entry that is accepted and fails in the choice of a server or a message."""
+
+    async def scenario():
+        await deployment.until_ready()
+        deployment.store.put('servers/odd', EXTREME_ENTRIES[name])
+        state = deployment.gateway._state
+        await check_service(deployment)
+        view = state.servers.views['odd']
+        request = models.RolloutRequest('stock', view.server.version, 12_000, 1)
+        state.rollouts.apply_request(request, 0)
+        key = state.rollouts.result_key(view.server, 'r-1')
+        state.rollouts.record_sent(key, 0)
+        counted = state.rollouts.report_with((), with_former=True)
+        state.rollouts.active.pop('stock')
+        sent = (
+            messages.Heartbeat('a', 1, True, False, versions=counted),
+            messages.CrashSeen('f', view.server.incarnation),
+        )
+        encoder = codec.Codec(registry.collect_message_types((messages,)))
+        assert [encoder.decode(encoder.encode(message)) for message in sent] == list(sent)
+        await check_service(deployment)
+
+    deployment.loop.run(scenario())
+
+
 @pytest.mark.parametrize('key', ODD_KEYS)
 def test_odd_key_stops_neither_requests_nor_changes(deployment, key):
     """Guards against a key that ends the instances, or is copied into requests to servers."""
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -78,7 +78,18 @@
     assert requests.classify_response(response) == result
 
 
-@pytest.mark.parametrize('raw', [b'', b'1,2', b'a,b,c', b'1,2,3,4', b'-1,0,3'])
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'',
+        b'1,2',
+        b'a,b,c',
+        b'1,2,3,4',
+        b'-1,0,3',
+        b'1,2,' + b'9' * 5000,
+        b'1' + b'0' * 30 + b',0,3',
+    ],
+)
 def test_malformed_load_report_is_none(raw):
     """Guards against taking a malformed load report for an idle server."""
     assert (
