Keep a suspect version at the share of the first step

A version that turned bad after many good results was neither rejected nor completed: suspect and past its unproven exposure, it got no more requests, so that the suspicion could not be confirmed. A good version that was suspected by chance would have hung in the same way.

Evidence: the new test failed before (120 good results first) and passes now.

--- a/rhubarbspar/gateway/rollout_schedule.py
+++ b/rhubarbspar/gateway/rollout_schedule.py
@@ -81,7 +81,11 @@
     scheduled = max(step.share for step in STEPS if step.elapsed_share <= elapsed_share)
     if _is_proven(evaluation):
         return scheduled
-    return min(scheduled, _unproven_share(elapsed_ms, evaluation.summed, limits))
+    unproven = _unproven_share(elapsed_ms, evaluation.summed, limits)
+    if evaluation.is_suspect:
+        # Without further requests, a suspicion could neither be confirmed nor refuted.
+        unproven = max(unproven, STEPS[0].share)
+    return min(scheduled, unproven)
 
 
 def _is_proven(evaluation: canary_analysis.Evaluation) -> bool:
--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -174,6 +174,22 @@
     assert served.phases == [const.PHASE_RUNNING, const.PHASE_ROLLED_BACK]
 
 
+@pytest.mark.parametrize('good_count', [20, 40, 80, 120])
+def test_version_that_turns_bad_after_good_results_is_rolled_back(gateway, good_count):
+    """Guards against a suspect version that gets no more requests and so is never rejected.
+
+    Its share fell to zero after six failures among many good responses.
+    """
+    start_rollout(gateway, duration_ms=22_000)
+
+    def respond(number):
+        return (USUAL_MS, 500 if number >= good_count and number % 2 else 200)
+
+    served = Service(gateway, respond).run(22_000)
+    assert served.phases == [const.PHASE_RUNNING, const.PHASE_ROLLED_BACK]
+    assert served.versions.count('v2') <= served.exposure_max
+
+
 def test_version_without_results_stays_within_the_permitted_exposure(gateway):
     """Guards against a rollout that goes on because nothing bad is known of the version."""
     start_rollout(gateway)
