Complete no rollout of a version that has served nothing

In a service with few requests a version that rejected each of them was completed, and the old servers were stopped: the requests stayed below its unproven exposure, so that its share followed the steps.

Change: a version that was sent requests is only completed after a response without an error and in time. Without any request it is completed as before.

Evidence: of two new tests the one with rejections failed before and passes now; a good version completes with one request a second as before.

--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -316,8 +316,14 @@
         elapsed_share = self._elapsed_share(rollout, now_ms)
         if self.candidate_share(rollout, now_ms) < 1:
             return const.PHASE_RUNNING
-        old_running = self._evaluate(rollout).summed.baseline.running
-        idle = old_running <= 0 and now_ms - rollout.old_version_sent_ms > OLD_VERSION_IDLE_MS
+        summed = self._evaluate(rollout).summed
+        if summed.candidate.sent and not summed.candidate.in_time:
+            # The version has served nothing yet, and the old servers stop at the completion.
+            return const.PHASE_RUNNING
+        idle = (
+            summed.baseline.running <= 0
+            and now_ms - rollout.old_version_sent_ms > OLD_VERSION_IDLE_MS
+        )
         return (
             const.PHASE_COMPLETED
             if idle or elapsed_share >= COMPLETE_SHARE
--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -198,6 +198,20 @@
     assert served.phases == [const.PHASE_RUNNING]
 
 
+def test_version_that_never_answers_is_not_completed_in_a_service_with_few_requests(gateway):
+    """Guards against stopping the old servers for a version of which nothing good is known."""
+    start_rollout(gateway)
+    served = Service(gateway, lambda _: REFUSAL, 1).run(ROLLOUT_MS)
+    assert served.phases == [const.PHASE_RUNNING]
+
+
+def test_good_version_completes_in_a_service_with_few_requests(gateway):
+    """Guards against a rollout that waits for more results than there are requests."""
+    start_rollout(gateway)
+    served = Service(gateway, lambda _: (USUAL_MS, 200), 1).run(ROLLOUT_MS)
+    assert served.phases == [const.PHASE_RUNNING, const.PHASE_COMPLETED]
+
+
 def test_instance_that_hears_no_other_one_uses_its_part_of_the_allowance(gateway):
     """Guards against a bad version whose exposure is used up by each cut-off instance again."""
     peers = 9
