Start with the bounds that the settings give

Cause: the template of the settings asked for each bound by name.

Change: the template passes all bounds on as they come. The adapter decodes those that it knows and ignores others; a missing one has a strict default and is named in a log line at the start and at each reload.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -105,6 +105,7 @@
             defer.Deferred.fromCoroutine(coroutine).addErrback(self._log_failure)
         incarnation = self._member.incarnation
         self._driver.report(core_effects.Log('started', (('incarnation', incarnation),)))
+        self._report_defaults()
 
     def close(self) -> None:
         """End all tasks and close all ports and connections; the process continues."""
@@ -133,6 +134,14 @@
         self._state.rollouts.exposure = initial_state.exposure_limits(settings)
         self._state.network.regions = settings.regions
         self._driver.report(core_effects.Log('settings_loaded'))
+        self._report_defaults()
+
+    def _report_defaults(self) -> None:
+        """Log the bounds that the settings do not give."""
+        names = self._settings.defaulted_bounds
+        if names:
+            fields = (('names', ','.join(names)),)
+            self._driver.report(core_effects.Log('bounds_defaulted', fields))
 
     async def _start_peer_transport(self) -> None:
         """Connect to the peers once the shared key is known."""
--- a/rhubarbspar/gateway/settings.py
+++ b/rhubarbspar/gateway/settings.py
@@ -7,9 +7,9 @@
 
 import voluptuous
 
-from rhubarbspar.helpers import durations
 from rhubarbspar.helpers import settings_file
 from rhubarbspar.helpers import validators
+from rhubarbspar.platform import bounds as platform_bounds
 
 CONF_BOUNDS: typing.Final = 'bounds'
 CONF_CALLER_ADDRESS: typing.Final = 'caller_address'
@@ -20,6 +20,7 @@
 CONF_LOG_LEVEL: typing.Final = 'log_level'
 CONF_METRICS_ADDRESS: typing.Final = 'metrics_address'
 CONF_PEER_ADDRESS: typing.Final = 'peer_address'
+CONF_PLATFORM_BOUNDS: typing.Final = 'platform_bounds'
 CONF_READINESS_ADDRESS: typing.Final = 'readiness_address'
 CONF_REGION: typing.Final = 'region'
 CONF_REGIONS: typing.Final = 'regions'
@@ -33,6 +34,9 @@
 class Bounds:
     """Bounds that the operators set for the whole fleet.
 
+    The defaults are the strictest bounds that keep a gateway working: a short stop, no retries and
+    no more requests of a new version than its rollout needs.
+
     Attributes
     ----------
     stop_grace
@@ -45,12 +49,12 @@
         ``exposure_allowance`` in the time of its rollout.
     """
 
-    stop_grace: float
-    retry_ratio: float
-    retry_allowance: float
-    retry_window: float
-    exposure_ratio: float
-    exposure_allowance: float
+    stop_grace: float = 6000
+    retry_ratio: float = 0.1
+    retry_allowance: float = 0
+    retry_window: float = 10_000
+    exposure_ratio: float = 0.05
+    exposure_allowance: float = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +70,8 @@
         Region of each failure domain.
     store_address
         ``host:port`` of the platform's key-value store.
+    defaulted_bounds
+        Names of the bounds that the file does not give.
     """
 
     instance_id: str
@@ -79,7 +85,8 @@
     peer_address: str
     readiness_address: str
     store_address: str
-    bounds: Bounds
+    bounds: Bounds = Bounds()
+    defaulted_bounds: tuple[str, ...] = ()
     log_level: str = DEFAULT_LOG_LEVEL
 
 
@@ -96,28 +103,30 @@
     return settings_file.load(path, _SCHEMA, _NO_SECRETS, Settings)
 
 
-def _duration_ms(raw: object) -> float:
-    try:
-        return durations.parse_ms(raw)
-    except ValueError as error:
-        raise voluptuous.Invalid('expected a time such as 1500ms or 2.5s') from error
+def _merge_bounds(members: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    """Merge both lists of bounds into one; name those that neither of them gives."""
+    merged: dict[str, float] = {}
+    for given in members.pop(CONF_PLATFORM_BOUNDS, ()):
+        merged.update(given)
+    merged.update(members.get(CONF_BOUNDS, {}))
+    defaulted = tuple(name for name in _BOUND_NAMES if name not in merged)
+    return {**members, CONF_BOUNDS: merged, 'defaulted_bounds': defaulted}
 
 
 _NO_SECRETS: typing.Final[types.MappingProxyType[str, int]] = types.MappingProxyType({})
-_NUMBER: typing.Final = voluptuous.All(validators.number, voluptuous.Range(min=0))
+_BOUND_NAMES: typing.Final = tuple(field.name for field in dataclasses.fields(Bounds))
+_DURATIONS: typing.Final = frozenset(('retry_window', 'stop_grace'))
 _BOUNDS: typing.Final = voluptuous.Schema(
     {
-        voluptuous.Required('stop_grace'): _duration_ms,
-        voluptuous.Required('retry_ratio'): _NUMBER,
-        voluptuous.Required('retry_allowance'): _NUMBER,
-        voluptuous.Required('retry_window'): _duration_ms,
-        voluptuous.Required('exposure_ratio'): _NUMBER,
-        voluptuous.Required('exposure_allowance'): _NUMBER,
+        voluptuous.Optional(name): platform_bounds.duration_ms
+        if name in _DURATIONS
+        else platform_bounds.NUMBER
+        for name in _BOUND_NAMES
     }
 )
-_SCHEMA: typing.Final = voluptuous.Schema(
+_MEMBERS: typing.Final = voluptuous.Schema(
     {
-        voluptuous.Required(CONF_BOUNDS): _BOUNDS,
+        voluptuous.Optional(CONF_BOUNDS): _BOUNDS,
         voluptuous.Required(CONF_CALLER_ADDRESS): validators.address,
         voluptuous.Required(CONF_DIRECTORY_ADDRESS): validators.address,
         voluptuous.Required(CONF_FAILURE_DOMAIN): validators.identifier,
@@ -126,9 +135,11 @@
         voluptuous.Optional(CONF_LOG_LEVEL): voluptuous.In(LOG_LEVELS),
         voluptuous.Required(CONF_METRICS_ADDRESS): validators.address,
         voluptuous.Required(CONF_PEER_ADDRESS): validators.address,
+        voluptuous.Optional(CONF_PLATFORM_BOUNDS): [platform_bounds.decode],
         voluptuous.Required(CONF_READINESS_ADDRESS): validators.address,
         voluptuous.Required(CONF_REGION): validators.identifier,
         voluptuous.Required(CONF_REGIONS): {validators.identifier: validators.identifier},
         voluptuous.Required(CONF_STORE_ADDRESS): validators.address,
     }
 )
+_SCHEMA: typing.Final = voluptuous.Schema(voluptuous.All(_MEMBERS, _merge_bounds))
--- /dev/null
+++ b/rhubarbspar/platform/bounds.py
@@ -0,0 +1,64 @@
+"""Codec of the bounds that the platform lists in the settings of a process."""
+
+import dataclasses
+import types
+import typing
+from collections import abc
+
+import voluptuous
+
+from rhubarbspar.helpers import durations
+from rhubarbspar.helpers import validators
+
+_Decode: typing.TypeAlias = abc.Callable[[typing.Any], float]
+
+
+def duration_ms(raw: object) -> float:
+    """Accept a time with its unit and return milliseconds."""
+    try:
+        return durations.parse_ms(raw)
+    except ValueError as error:
+        raise voluptuous.Invalid('expected a time such as 1500ms or 2.5s') from error
+
+
+NUMBER: typing.Final = voluptuous.All(validators.number, voluptuous.Range(min=0))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Field:
+    """A bound of the platform: its name here, and the validator of its value."""
+
+    name: str
+    decode: _Decode
+
+
+_FIELDS: typing.Final[abc.Mapping[str, _Field]] = types.MappingProxyType(
+    {
+        'budgetWindow': _Field('retry_window', duration_ms),
+        'exposureShare': _Field('exposure_ratio', NUMBER),
+        'exposureSlack': _Field('exposure_allowance', NUMBER),
+        'grace': _Field('stop_grace', duration_ms),
+        'retryBudgetRatio': _Field('retry_ratio', NUMBER),
+        'retryBudgetSlack': _Field('retry_allowance', NUMBER),
+    }
+)
+
+_KNOWN: typing.Final = voluptuous.Schema(
+    {
+        voluptuous.Optional(platform_name): voluptuous.Any(None, field.decode)
+        for platform_name, field in _FIELDS.items()
+    },
+    extra=voluptuous.REMOVE_EXTRA,
+)
+
+
+def decode(raw: typing.Any) -> dict[str, float]:
+    """Return the bounds that are given, by their names here; others are ignored.
+
+    Raises
+    ------
+    voluptuous.Invalid
+        If a known bound is malformed; names the bound.
+    """
+    known: dict[str, float | None] = _KNOWN(raw)
+    return {_FIELDS[key].name: bound for key, bound in known.items() if bound is not None}
