Bound what the connections of a process hold by one budget

Cause: readers had limits of their own or none, nothing bounded the sum, and what was held was held up to four times (growing buffer, copy, joined message, transport). Partial responses of cancelled attempts stayed until a collection of cyclic garbage. The port for forwards read bodies before the key was shown.

Change: a budget of bytes from the memory that the platform names; a connection reads on once its memory is reserved. Heads, trailers, chunk extensions and interim responses end after 64 KiB. Bodies stay in blocks and are written in slices. Senders at the port for forwards are screened by their head. A response that comes before its request is sent ends the connection, since the rest of the body would be taken for the next request.

--- a/rhubarbspar/gateway/backend_client.py
+++ b/rhubarbspar/gateway/backend_client.py
@@ -11,6 +11,7 @@
 from rhubarbspar.helpers import addresses
 from rhubarbspar.http1 import client
 from rhubarbspar.http1 import errors
+from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import probe
 from rhubarbspar.platform import requests
@@ -33,6 +34,8 @@
         Receives ``AttemptEnded`` for each attempt that was not cancelled.
     clock_ms
         Clock of the gateway.
+    budget
+        Bounds what requests and responses hold in memory.
     """
 
     def __init__(
@@ -40,8 +43,10 @@
         reactor: typing.Any,
         deliver: abc.Callable[[core_events.Event], None],
         clock_ms: abc.Callable[[], float],
+        budget: memory.MemoryBudget,
     ) -> None:
         """Open no connection yet."""
+        self._budget = budget
         self._reactor = reactor
         self._deliver = deliver
         self._clock_ms = clock_ms
@@ -134,7 +139,7 @@
         pool = self._pools.get(pool_id)
         if pool is None or pool.endpoint != endpoint:
             self.close_pool(pool_id)
-            pool = client.Pool(self._reactor, endpoint, self._clock_ms, IDLE_MAX_MS)
+            pool = client.Pool(self._reactor, endpoint, self._clock_ms, IDLE_MAX_MS, self._budget)
             self._pools[pool_id] = pool
         return pool
 
--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -55,12 +55,19 @@
         Its present content.
     reactor
         The reactor that the process runs.
+    memory_mb
+        Memory that the process may use, megabytes as text; empty if it is unknown.
     """
 
     def __init__(
-        self, settings_path: str, settings: gateway_settings.Settings, reactor: typing.Any
+        self,
+        settings_path: str,
+        settings: gateway_settings.Settings,
+        reactor: typing.Any,
+        memory_mb: str = '',
     ) -> None:
         """Create all parts without opening a socket."""
+        budget = initial_state.make_budget(memory_mb)
         self._settings_path = pathlib.Path(settings_path)
         self._settings = settings
         self._settings_text = self._settings_path.read_bytes()
@@ -76,7 +83,7 @@
         self._driver = effect_driver.Driver(self._state, clock_ms, self._counters, process)
         deliver = self._driver.deliver
         self._callers = caller_requests.CallerRequests(deliver)
-        self._backends = backend_client.BackendClient(reactor, deliver, clock_ms)
+        self._backends = backend_client.BackendClient(reactor, deliver, clock_ms, budget)
         self._store = store_tasks.StoreTasks(
             reactor,
             store.Store(reactor, settings.store_address, clock_ms),
@@ -86,7 +93,7 @@
         )
         self._driver.connect(self._callers, self._backends, self._store)
         self._listeners = listeners.Listeners(
-            reactor, self._state, self._callers.receive, self._counters, clock_ms
+            reactor, self._state, self._callers.receive, self._counters, clock_ms, budget
         )
         self._last_tick_ms = clock_ms()
         self._loops: list[task.LoopingCall] = []
@@ -150,7 +157,7 @@
             return
         self._backends.fleet_key = key
         self._driver.forwards.fleet_key = key
-        self._listeners.open_forwards(self._settings.forward_address, self._driver.forwards.receive)
+        self._listeners.open_forwards(self._settings.forward_address, self._driver.forwards)
         transport = peer_transport.PeerTransport(
             initial_state.peer_settings(self._settings, self._member, key),
             self._driver.deliver,
@@ -195,7 +202,7 @@
 _EXIT_DELAY_S: typing.Final = 0.15
 
 
-def run(settings_path: str) -> int:
+def run(settings_path: str, memory_mb: str = '') -> int:
     """Run a gateway until its planned stop has ended; return the exit code 0.
 
     SIGTERM and SIGINT start a planned stop, SIGHUP reloads the settings.
@@ -207,7 +214,7 @@
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
     reactor = importlib.import_module('twisted.internet.reactor')
-    daemon = Daemon(settings_path, settings, reactor)
+    daemon = Daemon(settings_path, settings, reactor, memory_mb)
     reactor.callWhenRunning(daemon.start)
     reactor.callWhenRunning(_install_signal_handlers, daemon)
     reactor.run(installSignalHandlers=False)
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -5,6 +5,7 @@
 
 from rhubarbspar.gateway import budget
 from rhubarbspar.gateway import fleet
+from rhubarbspar.gateway import memory_limits
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import rollout_schedule
 from rhubarbspar.gateway import rollouts
@@ -12,6 +13,7 @@
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.helpers import addresses
+from rhubarbspar.http1 import memory
 from rhubarbspar.peers import transport
 from rhubarbspar.platform import records
 
@@ -44,6 +46,11 @@
     return budget.BudgetLimits(bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window)
 
 
+def make_budget(memory_mb: str) -> memory.MemoryBudget:
+    """Return the budget of what the connections hold, from the memory of the process."""
+    return memory_limits.make_budget(memory_mb)
+
+
 def make_member(settings: gateway_settings.Settings) -> models.Member:
     """Return the registration of this instance under a new random incarnation."""
     return models.Member(
--- a/rhubarbspar/gateway/listeners.py
+++ b/rhubarbspar/gateway/listeners.py
@@ -7,9 +7,11 @@
 from rhubarbspar.gateway import directory
 from rhubarbspar.gateway import forward_protocol
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import peer_forwards
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.helpers import addresses
+from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import server
 from rhubarbspar.platform import directory as platform_directory
@@ -37,6 +39,8 @@
         Counters that the metrics address serves.
     clock_ms
         Clock of the gateway.
+    budget
+        Bounds what requests and responses hold in memory.
     """
 
     def __init__(
@@ -46,9 +50,11 @@
         handle: abc.Callable[[server.Exchange], None],
         counters: metrics.Metrics,
         clock_ms: abc.Callable[[], float],
+        budget: memory.MemoryBudget,
     ) -> None:
         """Create the callers' site; no port opens yet."""
-        self.caller_site = server.Site(handle, self._caller_limits, clock_ms)
+        self.caller_site = server.Site(handle, self._caller_limits, clock_ms, budget)
+        self._budget = budget
         self._reactor = reactor
         self._state = state
         self._counters = counters
@@ -64,9 +70,11 @@
         self._serve(settings.directory_address, self._answer_lookup)
         self._serve(settings.metrics_address, self._answer_metrics)
 
-    def open_forwards(self, address: str, handle: abc.Callable[[server.Exchange], None]) -> None:
+    def open_forwards(self, address: str, forwards: peer_forwards.PeerForwards) -> None:
         """Open the port on which peers send the attempts that this instance passes on."""
-        site = server.Site(handle, self._forward_limits, self._clock_ms)
+        site = server.Site(
+            forwards.receive, self._forward_limits, self._clock_ms, self._budget, forwards.screen
+        )
         self._sites.append(site)
         self._listen(address, site)
 
@@ -132,6 +140,7 @@
             lambda exchange: exchange.respond(respond(exchange.request)),
             lambda: _INTERNAL_LIMITS,
             self._clock_ms,
+            self._budget,
         )
         self._sites.append(site)
         self._listen(address, site)
--- a/rhubarbspar/gateway/peer_forwards.py
+++ b/rhubarbspar/gateway/peer_forwards.py
@@ -35,15 +35,20 @@
         self._exchanges: dict[int, server.Exchange] = {}
         self._last_number = 0
 
-    def receive(self, exchange: server.Exchange) -> None:
-        """Register an attempt and deliver its event; refuse a peer that lacks the key."""
-        message = exchange.request
+    def screen(self, message: messages.Request) -> messages.Response | None:
+        """Return the response that refuses a peer without the key, before its body is read."""
         envelope = forward_protocol.decode_envelope(message)
-        if envelope is None or not forward_protocol.is_valid_token(
+        if envelope is not None and forward_protocol.is_valid_token(
             envelope.token, self.fleet_key, self._instance_id
         ):
-            not_forwarded = events.AttemptResult.NOT_FORWARDED
-            _respond_result(exchange, not_forwarded)
+            return None
+        return _encode_result(message, events.AttemptResult.NOT_FORWARDED)
+
+    def receive(self, exchange: server.Exchange) -> None:
+        """Register an attempt that ``screen`` has accepted, and deliver its event."""
+        message = exchange.request
+        envelope = forward_protocol.decode_envelope(message)
+        if envelope is None:
             return
         self._last_number += 1
         number = self._last_number
@@ -73,7 +78,7 @@
         if exchange is None:
             return
         if response is None:
-            _respond_result(exchange, attempt_result)
+            exchange.respond(_encode_result(exchange.request, attempt_result))
         else:
             exchange.respond(forward_protocol.encode_response(response))
 
@@ -82,6 +87,7 @@
             self._deliver(events.ForwardAbandoned(number))
 
 
-def _respond_result(exchange: server.Exchange, attempt_result: events.AttemptResult) -> None:
-    echo = requests.response_id_header(exchange.request)
-    exchange.respond(forward_protocol.encode_result(attempt_result, echo))
+def _encode_result(
+    message: messages.Request, attempt_result: events.AttemptResult
+) -> messages.Response:
+    return forward_protocol.encode_result(attempt_result, requests.response_id_header(message))
--- a/rhubarbspar/http1/client.py
+++ b/rhubarbspar/http1/client.py
@@ -11,10 +11,13 @@
 from twisted.python import failure
 
 from rhubarbspar import const as package_const
+from rhubarbspar.http1 import bodies
 from rhubarbspar.http1 import const
 from rhubarbspar.http1 import errors
+from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import transports
+from rhubarbspar.http1 import writing
 
 Outcome: typing.TypeAlias = messages.Response | errors.HttpError
 _TIMEOUT_PARAMETER: typing.Final = re.compile(rb'timeout=(\d+)')
@@ -95,6 +98,8 @@
         Monotonic clock in milliseconds.
     idle_max_ms
         Idle timeout: a connection that was idle for longer is closed, not reused.
+    budget
+        Bounds what the responses hold in memory; by default they hold what they need.
     """
 
     def __init__(
@@ -103,8 +108,10 @@
         endpoint: Endpoint,
         clock_ms: abc.Callable[[], float],
         idle_max_ms: float,
+        budget: memory.MemoryBudget | None = None,
     ) -> None:
         """Create an empty pool."""
+        self.budget = budget or memory.MemoryBudget()
         self.clock_ms = clock_ms
         self.endpoint = endpoint
         self.idle_max_ms = idle_max_ms
@@ -156,10 +163,13 @@
         self._partial = _PartialResponse()
         self._closed = False
         self._idle_timeout_ms = pool.idle_max_ms
+        self._share = memory.Share(pool.budget)
+        self._writer: writing.SliceWriter
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the first request."""
         transports.set_tcp_options(self.transport)
+        self._writer = writing.SliceWriter(self.transport, memory.Share(self._pool.budget))
         call = self._call
         if call is None or call.done:
             self.abort()
@@ -173,13 +183,14 @@
         call.connection = self
         self._parser = httptools.HttpResponseParser(self)
         self._partial = _PartialResponse()
-        transport: typing.Any = self.transport
-        transport.write(messages.serialize_request(call.request))
+        head = messages.serialize_request_head(call.request)
+        self._writer.write(head, call.request.body)
 
     def abort(self) -> None:
         """Close the connection immediately and remove it from the pool."""
         self._closed = True
         self._remove_from_pool()
+        self._drop_partial()
         transport: typing.Any = self.transport
         if transport is not None:
             transport.abortConnection()
@@ -189,13 +200,15 @@
         if self._call is None or self._closed:
             self.abort()
             return
+        # The first part of a body in the chunk sets this to 0 again.
+        self._partial.unframed_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(errors.MalformedError(str(error)))
             return
-        if self._call is not None and len(self._partial.body) > const.RESPONSE_MAX_BYTES:
-            self._fail(errors.MalformedError('response is too large'))
+        if self._call is not None:
+            self._check_size()
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -213,7 +226,7 @@
 
     def on_message_begin(self) -> None:
         """Begin a response, discarding an interim one (1xx)."""
-        self._partial = _PartialResponse()
+        self._partial = _PartialResponse(unframed_bytes=self._partial.unframed_bytes)
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store a header with its name in lower case."""
@@ -226,16 +239,32 @@
         has_framing = any(name in _FRAMING_HEADERS for name, _ in partial.headers)
         has_no_body = partial.status in {const.STATUS_NO_CONTENT, const.STATUS_NOT_MODIFIED}
         partial.ends_with_connection = not (has_framing or has_no_body)
+        partial.announced_bytes = messages.content_length(partial.headers)
 
     def on_body(self, part: bytes) -> None:
         """Append to the body."""
-        self._partial.body += part
+        self._partial.body.append(part)
+        self._partial.unframed_bytes = 0
 
     def on_message_complete(self) -> None:
         """Complete the response, unless it is an interim one (1xx)."""
         if self._partial.status >= const.STATUS_OK:
             self._complete()
 
+    def _check_size(self) -> None:
+        """Fail a response that is too large; stop reading until the next part of it fits."""
+        partial = self._partial
+        error = _find_excess(partial, self._pool.budget.message_max_bytes)
+        if error is not None:
+            self._fail(error)
+            return
+        expected_bytes = len(partial.body) + const.READ_AHEAD_BYTES
+        if partial.announced_bytes is not None:
+            expected_bytes = partial.announced_bytes
+        transport: typing.Any = self.transport
+        if not self._share.reserve(expected_bytes, transport.resumeProducing):
+            transport.pauseProducing()
+
     def _complete(self) -> None:
         call = self._call
         if call is None:
@@ -253,12 +282,16 @@
                 self._fail(errors.BrokenError('the response belongs to another request'))
             return
         self._call = None
-        reusable = not (self._closed or partial.ends_with_connection)
+        # A server that answers before it has read the whole request may leave the rest unread.
+        reusable = self._writer.is_sent and not (self._closed or partial.ends_with_connection)
         if reusable and self._parser.should_keep_alive():
             self._keep_idle(partial.headers)
         else:
             self.abort()
-        call.finish(messages.Response(partial.status, tuple(partial.headers), bytes(partial.body)))
+        self._partial = _PartialResponse()
+        body = partial.body.finish()
+        call.finish(messages.Response(partial.status, tuple(partial.headers), body))
+        self._share.release()
 
     def _keep_idle(self, headers: list[messages.Header]) -> None:
         keep_alive = messages.find_header(headers, b'keep-alive')
@@ -281,6 +314,11 @@
         if call is not None:
             call.finish(error)
 
+    def _drop_partial(self) -> None:
+        """Free the partial response; the parser and the connection refer to each other."""
+        self._partial = _PartialResponse()
+        self._share.release()
+
     def _remove_from_pool(self) -> None:
         if self in self._pool.idle:
             self._pool.idle.remove(self)
@@ -311,12 +349,34 @@
 
 @dataclasses.dataclass(slots=True)
 class _PartialResponse:
-    """A partially received response."""
+    """A partially received response.
+
+    Attributes
+    ----------
+    announced_bytes
+        Size of the body according to the head.
+    unframed_bytes
+        Bytes received since the last part of the body: head, trailers, chunk extensions.
+    """
 
     status: int = 0
+    announced_bytes: int | None = None
+    unframed_bytes: int = 0
     ends_with_connection: bool = False
     headers: list[messages.Header] = dataclasses.field(default_factory=list)
-    body: bytearray = dataclasses.field(default_factory=bytearray)
+    body: bodies.BlockBuffer = dataclasses.field(default_factory=bodies.BlockBuffer)
+
+
+def _find_excess(partial: _PartialResponse, body_max_bytes: float) -> errors.MalformedError | None:
+    """Return the error of a response that exceeds a limit."""
+    if partial.unframed_bytes > const.RESPONSE_HEAD_MAX_BYTES:
+        return errors.MalformedError('the head or trailers are too large')
+    if len(partial.headers) > const.RESPONSE_HEADERS_MAX:
+        return errors.MalformedError('there are too many headers')
+    body_bytes = max(len(partial.body), partial.announced_bytes or 0)
+    if body_bytes > min(const.RESPONSE_MAX_BYTES, body_max_bytes):
+        return errors.MalformedError('the body is too large')
+    return None
 
 
 def _find_echo(
--- a/rhubarbspar/http1/const.py
+++ b/rhubarbspar/http1/const.py
@@ -13,6 +13,21 @@
 
 RESPONSE_MAX_BYTES: typing.Final = 67_108_864
 
+# Upper bounds of the head of a response, and of its trailers and chunk extensions.
+RESPONSE_HEAD_MAX_BYTES: typing.Final = 65_536
+RESPONSE_HEADERS_MAX: typing.Final = 256
+
+# A body of unknown length is read this far beyond what has arrived.
+READ_AHEAD_BYTES: typing.Final = 65_536
+
+# A caller whose request waits for memory for longer does better to ask another instance.
+MEMORY_WAIT_MAX_MS: typing.Final = 500
+
+# While memory is short, a client that takes no part of its response for this long is disconnected.
+STALLED_WRITE_MAX_MS: typing.Final = 1000
+
+MEMORY_RETRY_AFTER: typing.Final = (b'retry-after', b'1')
+
 # Idle connections are closed this long before the idle timeout that the peer announced.
 KEEP_ALIVE_MARGIN_MS: typing.Final = 1000
 
@@ -37,3 +52,4 @@
 STATUS_NO_CONTENT: typing.Final = 204
 STATUS_NOT_MODIFIED: typing.Final = 304
 STATUS_OK: typing.Final = 200
+STATUS_UNAVAILABLE: typing.Final = 503
--- a/rhubarbspar/http1/messages.py
+++ b/rhubarbspar/http1/messages.py
@@ -5,6 +5,7 @@
 import typing
 from collections import abc
 
+from rhubarbspar.http1 import bodies
 from rhubarbspar.http1 import const
 
 Header: typing.TypeAlias = tuple[bytes, bytes]
@@ -18,7 +19,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes = b''
+    body: bodies.Body = b''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,7 +34,7 @@
 
     status: int
     headers: Headers = ()
-    body: bytes = b''
+    body: bodies.Body = b''
     keep_alive: bool = True
 
 
@@ -56,24 +57,30 @@
     ]
 
 
-def serialize_request(request: Request) -> bytes:
-    """Return the bytes of a request; ``Content-Length`` is derived from the body."""
+def content_length(headers: abc.Iterable[Header]) -> int | None:
+    """Return the announced size of a body; ``None`` if it is not announced or malformed."""
+    raw = find_header(headers, b'content-length')
+    return int(raw) if raw is not None and raw.isdigit() else None
+
+
+def serialize_request_head(request: Request) -> bytes:
+    """Return the head of a request; ``Content-Length`` is derived from the body."""
     lines = [b'%b %b HTTP/1.1' % (request.method, request.target)]
     lines.extend(b'%b: %b' % header for header in request.headers if header[0] != b'content-length')
     if request.body or request.method not in {b'GET', b'HEAD', b'DELETE', b'OPTIONS'}:
         lines.append(b'content-length: %d' % len(request.body))
-    return b'\r\n'.join((*lines, b'', request.body))
+    return b'\r\n'.join((*lines, b'', b''))
 
 
-def serialize_response(response: Response, *, to_head: bool, close: bool) -> bytes:
-    """Return the bytes of a response.
+def serialize_response_head(response: Response, *, to_head: bool, close: bool) -> bytes:
+    """Return the head of a response.
 
     Parameters
     ----------
     response
         Response to serialize.
     to_head
-        Whether the request was HEAD: ``Content-Length`` is kept and the body left out.
+        Whether the request was HEAD: ``Content-Length`` is kept.
     close
         Whether the connection closes after this response.
     """
@@ -87,7 +94,7 @@
         lines.append(b'content-length: %d' % len(response.body))
     if close:
         lines.append(b'connection: close')
-    return b'\r\n'.join((*lines, b'', b'' if to_head else response.body))
+    return b'\r\n'.join((*lines, b'', b''))
 
 
 def _connection_options(headers: Headers) -> frozenset[bytes]:
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import typing
 from collections import abc
 
@@ -12,8 +13,11 @@
 from zope import interface  # type: ignore[import-untyped]
 
 from rhubarbspar.http1 import const
+from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
+from rhubarbspar.http1 import request_parser
 from rhubarbspar.http1 import transports
+from rhubarbspar.http1 import writing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,9 +41,17 @@
         Called when no response can be sent any more, for example after a disconnect.
     """
 
-    def __init__(self, channel: 'Channel', request: messages.Request, *, keep_alive: bool) -> None:
-        """Create an exchange without a response."""
+    def __init__(
+        self,
+        channel: 'Channel',
+        request: messages.Request,
+        share: memory.Share,
+        *,
+        keep_alive: bool,
+    ) -> None:
+        """Create an exchange without a response; ``share`` holds the memory of its request."""
         self.request = request
+        self.share = share
         self.on_abandoned: abc.Callable[[], None] | None = None
         self.response: messages.Response | None = None
         self.keep_alive = keep_alive
@@ -47,9 +59,12 @@
 
     def respond(self, response: messages.Response) -> None:
         """Send the response after all earlier ones of the connection; later calls do nothing."""
-        if self.response is None:
-            self.response = response
-            self._channel.flush()
+        if self.response is not None:
+            return
+        self.response = response
+        if not self._channel.closing:
+            self.share.hold(len(response.body))
+        self._channel.flush()
 
 
 class Site(protocol.Factory):
@@ -63,6 +78,11 @@
         Returns the limits that apply now.
     clock_ms
         Monotonic clock in milliseconds.
+    budget
+        Bounds what requests and responses hold in memory; by default they hold what they need.
+    screen
+        Called with the head of each request before its body is read; returns the response that
+        refuses it, or ``None``.
     """
 
     def __init__(
@@ -70,11 +90,15 @@
         handle: abc.Callable[[Exchange], None],
         limits: abc.Callable[[], Limits],
         clock_ms: abc.Callable[[], float],
+        budget: memory.MemoryBudget | None = None,
+        screen: abc.Callable[[messages.Request], messages.Response | None] | None = None,
     ) -> None:
         """Create a site without connections."""
         self.handle = handle
         self.limits = limits
         self.clock_ms = clock_ms
+        self.budget = budget or memory.MemoryBudget()
+        self._screen = screen
         self.channels: set[Channel] = set()
         self.closing = False
 
@@ -82,8 +106,17 @@
         """Return the protocol of a new connection."""
         return Channel(self)
 
+    def refuse_by_head(self, request: messages.Request) -> messages.Response | None:
+        """Return the response that refuses a request by its head, or ``None``."""
+        return None if self._screen is None else self._screen(request)
+
+    @property
+    def unsent_count(self) -> int:
+        """Return the number of connections with a response that is not sent yet."""
+        return sum(not channel.writer.is_sent for channel in self.channels)
+
     def close_expired(self) -> None:
-        """Close connections that are idle for too long or whose request head is overdue."""
+        """Close connections that are idle or stalled, and refuse requests that are overdue."""
         now_ms = self.clock_ms()
         for channel in tuple(self.channels):
             channel.check_time(now_ms)
@@ -102,35 +135,41 @@
 
 @interface.implementer(interfaces.IHalfCloseableProtocol)
 class Channel(protocol.Protocol):
-    """A connection of a client."""
+    """A connection of a client.
+
+    Attributes
+    ----------
+    closing
+        Whether no more responses can be sent.
+    writer
+        Sends the responses.
+    """
 
     def __init__(self, site: Site) -> None:
         """Create the protocol of a new connection."""
         self._site = site
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = request_parser.RequestParser(self, site.budget, site.clock_ms)
         self._pending: collections.deque[Exchange] = collections.deque()
-        self._partial = _PartialRequest()
         self._last_active_ms = site.clock_ms()
-        self._completed_in_chunk = False
-        self._closing = False
-        self._paused = False
+        self.closing = False
+        self._reading = _Reading()
+        self.writer: writing.SliceWriter
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set the TCP options and register the connection with the site."""
         transports.set_tcp_options(self.transport)
+        share = memory.Share(self._site.budget)
+        self.writer = writing.SliceWriter(self.transport, share, self._note_sent)
         self._site.channels.add(self)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         """Abandon the exchanges that have no response yet."""
-        self._closing = True
+        self.closing = True
         self._site.channels.discard(self)
-        unanswered = [exchange for exchange in self._pending if exchange.response is None]
-        self._pending.clear()
-        for exchange in unanswered:
-            if exchange.on_abandoned is not None:
-                exchange.on_abandoned()
+        self._parser.stop()
+        self._abandon_pending()
 
     def readConnectionLost(self) -> None:  # noqa: N802
         """Close the connection: a client that ends its side counts as disconnected."""
@@ -142,145 +181,198 @@
 
     def dataReceived(self, chunk: bytes) -> None:  # noqa: N802
         """Parse received bytes and refuse a malformed or oversized request."""
-        if self._closing:
+        if self.closing:
             return
         self._last_active_ms = self._site.clock_ms()
-        self._completed_in_chunk = False
         try:
-            self._parser.feed_data(chunk)
+            self._parser.feed(chunk)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._refuse(const.STATUS_BAD_REQUEST)
+            self._refuse(messages.Response(const.STATUS_BAD_REQUEST, keep_alive=False))
             return
-        if not self._completed_in_chunk:
-            # A chunk that also holds the end of an earlier message would overstate this size.
-            self._partial.size_bytes += len(chunk)
-        self._check_size()
+        if self._parser.partial.started and not self.closing:
+            self._check_partial(self._parser.partial)
 
     def check_time(self, now_ms: float) -> None:
-        """Close the connection if it is idle for too long, or if a request head is overdue."""
-        limits = self._site.limits()
-        idle_ms = now_ms - self._last_active_ms
-        if self._pending or self._closing:
+        """Close the connection if it is idle or stalled; refuse a request that is overdue."""
+        if self.closing and self.writer.is_sent:
             return
-        if self._partial.started and not self._partial.head_complete:
-            if now_ms - self._partial.started_ms > limits.header_timeout_ms:
-                self._refuse(const.STATUS_REQUEST_TIMEOUT)
-        elif idle_ms > limits.idle_timeout_ms:
-            self._close()
+        if not self.writer.is_sent:
+            self.writer.abort_if_stalled(now_ms)
+        elif self._reading.waited_ms(now_ms) > const.MEMORY_WAIT_MAX_MS:
+            self._refuse(_OUT_OF_MEMORY)
+        elif not self._pending:
+            self._check_idle(self._parser.partial, now_ms)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is pending or being received."""
-        if not (self._pending or self._partial.started or self._closing):
+        if not (self._pending or self._parser.partial.started or self.closing):
             self._close()
 
     def flush(self) -> None:
         """Write the responses that are ready, in the order of the requests."""
-        transport: typing.Any = self.transport
         while self._pending and self._pending[0].response is not None:
             exchange = self._pending.popleft()
             response = exchange.response
             if response is None:
                 return
             close = self._site.closing or not (exchange.keep_alive and response.keep_alive)
-            to_head = exchange.request.method == b'HEAD'
-            transport.write(messages.serialize_response(response, to_head=to_head, close=close))
-            self._last_active_ms = self._site.clock_ms()
+            self._write(exchange, response, close=close)
             if close:
                 self._abandon_pending()
                 self._close()
                 return
-        if self._paused and len(self._pending) < const.PIPELINE_MAX:
-            self._paused = False
-            transport.resumeProducing()
+        self._update_reading()
 
-    def on_message_begin(self) -> None:
-        """Begin a request."""
-        self._partial = _PartialRequest(started=True, started_ms=self._site.clock_ms())
+    def receive_request(self, request: messages.Request, share: memory.Share) -> None:
+        """Pass a request to the site; stop reading at ``PIPELINE_MAX`` pending requests."""
+        exchange = Exchange(self, request, share, keep_alive=self._parser.should_keep_alive())
+        self._pending.append(exchange)
+        self._update_reading()
+        refusal = self._site.refuse_by_head(request)
+        if refusal is None:
+            self._site.handle(exchange)
+        else:
+            exchange.respond(refusal)
+
+    def expect_continue(self) -> None:
+        """Let the client send the body, unless earlier requests are pending."""
+        if not self._pending:
+            self.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n', b'')
+
+    def _check_partial(self, partial: request_parser.PartialRequest) -> None:
+        """Refuse a request that is not acceptable; stop reading until its next part fits."""
+        refusal = _find_excess(partial, self._site)
+        if refusal is None and partial.head_complete and not partial.is_screened:
+            partial.is_screened = True
+            refusal = self._site.refuse_by_head(self._parser.make_request())
+        if refusal is not None:
+            self._refuse(refusal)
+            return
+        if not partial.share.reserve(_needed_bytes(partial), self._resume):
+            self._reading.waiting_since_ms = self._site.clock_ms()
+            self._update_reading()
 
-    def on_url(self, part: bytes) -> None:
-        """Append to the request target."""
-        self._partial.target += part
+    def _resume(self) -> None:
+        """Read on: the memory for the request is reserved."""
+        self._reading.waiting_since_ms = math.inf
+        self._last_active_ms = self._site.clock_ms()
+        self._update_reading()
 
-    def on_header(self, name: bytes, content: bytes) -> None:
-        """Store a header with its name in lower case."""
-        self._partial.headers.append((name.lower(), content))
+    def _update_reading(self) -> None:
+        """Pause or resume reading, as the pending requests and the memory permit."""
+        must_pause = self._reading.waits_for_memory or len(self._pending) >= const.PIPELINE_MAX
+        if not self.closing:
+            self._reading.switch(self.transport, is_paused=must_pause)
 
-    def on_headers_complete(self) -> None:
-        """Answer ``Expect: 100-continue``, unless earlier requests are pending."""
-        self._partial.head_complete = True
-        expected = messages.find_header(self._partial.headers, b'expect')
-        if expected is not None and expected.lower() == b'100-continue' and not self._pending:
-            transport: typing.Any = self.transport
-            transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-
-    def on_body(self, part: bytes) -> None:
-        """Append to the body."""
-        self._partial.body += part
-
-    def on_message_complete(self) -> None:
-        """Pass the request to the site; stop reading at ``PIPELINE_MAX`` pending requests."""
-        partial = self._partial
-        self._partial = _PartialRequest()
-        self._completed_in_chunk = True
-        if self._closing or partial.is_refused:
-            return
-        request = messages.Request(
-            self._parser.get_method(),
-            bytes(partial.target),
-            tuple(partial.headers),
-            bytes(partial.body),
-        )
-        exchange = Exchange(self, request, keep_alive=self._parser.should_keep_alive())
-        self._pending.append(exchange)
-        if len(self._pending) >= const.PIPELINE_MAX:
-            self._paused = True
-            transport: typing.Any = self.transport
-            transport.pauseProducing()
-        self._site.handle(exchange)
-
-    def _check_size(self) -> None:
-        partial = self._partial
-        if not partial.started:
-            return
+    def _check_idle(self, partial: request_parser.PartialRequest, now_ms: float) -> None:
+        """Close a connection without a pending request, or refuse the head of a slow one."""
         limits = self._site.limits()
-        if not partial.head_complete and partial.size_bytes > limits.header_max_bytes:
-            self._refuse(const.STATUS_HEADERS_TOO_LARGE)
-        elif len(partial.body) > limits.body_max_bytes:
-            self._refuse(const.STATUS_CONTENT_TOO_LARGE)
+        if partial.started and not partial.head_complete:
+            if now_ms - partial.started_ms > limits.header_timeout_ms:
+                self._refuse(messages.Response(const.STATUS_REQUEST_TIMEOUT, keep_alive=False))
+        elif now_ms - self._last_active_ms > limits.idle_timeout_ms:
+            self._close()
 
-    def _refuse(self, status: int) -> None:
+    def _write(self, exchange: Exchange, response: messages.Response, *, close: bool) -> None:
+        """Pass the response of an exchange to the transport."""
+        to_head = exchange.request.method == b'HEAD'
+        head = messages.serialize_response_head(response, to_head=to_head, close=close)
+        self._last_active_ms = self._site.clock_ms()
+        self.writer.write(head, b'' if to_head else response.body)
+        # The writer holds the response now; released earlier, its memory would be given away.
+        exchange.share.release()
+
+    def _refuse(self, refusal: messages.Response) -> None:
         """Queue an error response after the pending ones and close the connection."""
-        self._partial.is_refused = True
-        exchange = Exchange(self, messages.Request(b'', b'', ()), keep_alive=False)
+        self._parser.stop()
+        self._reading.waiting_since_ms = math.inf
+        share = memory.Share(self._site.budget)
+        exchange = Exchange(self, messages.Request(b'', b'', ()), share, keep_alive=False)
         self._pending.append(exchange)
-        exchange.respond(messages.Response(status, keep_alive=False))
+        exchange.respond(refusal)
 
     def _abandon_pending(self) -> None:
-        """Abandon the requests that follow a response that closes the connection."""
+        """Abandon the requests to which no response can be sent any more."""
         rest = tuple(self._pending)
         self._pending.clear()
         for exchange in rest:
-            if exchange.on_abandoned is not None:
+            exchange.share.release()
+            if exchange.response is None and exchange.on_abandoned is not None:
                 exchange.on_abandoned()
 
     def _close(self) -> None:
-        """Close the write side now and the connection after ``LINGER_S``."""
-        self._closing = True
-        transport: typing.Any = self.transport
-        # Closing a socket with unread bytes resets it, which can lose the last response.
-        transport.loseWriteConnection()
-        transport.reactor.callLater(const.LINGER_S, transport.loseConnection)
+        """Close the write side once all is sent, and the connection ``LINGER_S`` later."""
+        self.closing = True
+        self._parser.stop()
+        # What the client still sends is read and dropped: closing a socket with unread bytes
+        # resets it, which can lose the last response.
+        self._reading.switch(self.transport, is_paused=False)
+        if self.writer.is_sent:
+            self._note_sent()
+
+    def _note_sent(self) -> None:
+        """Close the write side if the connection is to close."""
+        if self.closing:
+            transport: typing.Any = self.transport
+            transport.loseWriteConnection()
+            transport.reactor.callLater(const.LINGER_S, transport.loseConnection)
 
 
 @dataclasses.dataclass(slots=True)
-class _PartialRequest:
-    """A partially received request."""
-
-    started: bool = False
-    started_ms: float = 0.0
-    head_complete: bool = False
-    size_bytes: int = 0
-    is_refused: bool = False
-    target: bytearray = dataclasses.field(default_factory=bytearray)
-    headers: list[messages.Header] = dataclasses.field(default_factory=list)
-    body: bytearray = dataclasses.field(default_factory=bytearray)
+class _Reading:
+    """Whether a connection is read.
+
+    Attributes
+    ----------
+    waiting_since_ms
+        Since when the request waits for memory; infinity if it does not.
+    """
+
+    is_paused: bool = False
+    waiting_since_ms: float = math.inf
+
+    @property
+    def waits_for_memory(self) -> bool:
+        """Return whether the request waits for memory."""
+        return self.waiting_since_ms < math.inf
+
+    def waited_ms(self, now_ms: float) -> float:
+        """Return for how long the request has waited for memory; negative if it does not."""
+        return now_ms - self.waiting_since_ms
+
+    def switch(self, transport: typing.Any, *, is_paused: bool) -> None:
+        """Pause or resume reading."""
+        if is_paused == self.is_paused:
+            return
+        self.is_paused = is_paused
+        if is_paused:
+            transport.pauseProducing()
+        else:
+            transport.resumeProducing()
+
+
+_OUT_OF_MEMORY: typing.Final = messages.Response(
+    const.STATUS_UNAVAILABLE, (const.MEMORY_RETRY_AFTER,), keep_alive=False
+)
+
+
+def _find_excess(partial: request_parser.PartialRequest, site: Site) -> messages.Response | None:
+    """Return the response that refuses a request which exceeds a limit."""
+    limits = site.limits()
+    if not partial.head_complete:
+        if partial.head_bytes > limits.header_max_bytes:
+            return messages.Response(const.STATUS_HEADERS_TOO_LARGE, keep_alive=False)
+        return None
+    if partial.body_bytes > limits.body_max_bytes:
+        return messages.Response(const.STATUS_CONTENT_TOO_LARGE, keep_alive=False)
+    if partial.body_bytes > site.budget.message_max_bytes:
+        return _OUT_OF_MEMORY
+    return None
+
+
+def _needed_bytes(partial: request_parser.PartialRequest) -> int:
+    """Return the memory that a request needs before more of it is read."""
+    if partial.announced_bytes is not None:
+        return partial.held_bytes - len(partial.body) + partial.announced_bytes
+    read_ahead_bytes = const.READ_AHEAD_BYTES if partial.head_complete else 0
+    return partial.held_bytes + read_ahead_bytes
--- a/rhubarbspar/platform/requests.py
+++ b/rhubarbspar/platform/requests.py
@@ -10,6 +10,7 @@
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
+from rhubarbspar.http1 import bodies
 from rhubarbspar.http1 import messages
 from rhubarbspar.platform import const
 
@@ -181,5 +182,8 @@
 
 
 def _hash_request(request: messages.Request) -> str:
-    content = b'\0'.join((request.method, request.target, request.body))
-    return hashlib.blake2b(content, digest_size=_FINGERPRINT_SIZE_BYTES).hexdigest()
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_SIZE_BYTES)
+    digest.update(b'%b\0%b\0' % (request.method, request.target))
+    for view in bodies.views_of(request.body):
+        digest.update(view)
+    return digest.hexdigest()
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -14,6 +14,7 @@
 from rhubarbspar.gateway import revisions
 from rhubarbspar.helpers import addresses
 from rhubarbspar.helpers import durations
+from rhubarbspar.http1 import bodies
 from rhubarbspar.http1 import client
 from rhubarbspar.http1 import errors as http_errors
 from rhubarbspar.http1 import messages
@@ -201,7 +202,7 @@
         if outcome.status != const.STATUS_OK:
             raise errors.StoreRejectedError(outcome.status)
         try:
-            return _Answer(json.loads(outcome.body or _NO_DOCUMENT), era)
+            return _Answer(json.loads(bodies.join(outcome.body) or _NO_DOCUMENT), era)
         except (RecursionError, ValueError) as error:
             raise errors.StoreError('answer of the store is not JSON') from error
 
--- a/tests/gateway/test_forwards.py
+++ b/tests/gateway/test_forwards.py
@@ -11,6 +11,7 @@
 from rhubarbspar.gateway import forward_protocol
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import peer_forwards
 from rhubarbspar.http1 import messages as http_messages
 from tests.gateway import conftest
 
@@ -246,6 +247,21 @@
     assert not forward_protocol.is_valid_token(empty, b'', 'front-1')
 
 
+@pytest.mark.parametrize('key', [b'secret', b'other', b''])
+def test_sender_is_known_by_its_head(key):
+    """Guards against bodies of strangers that are read before the key of the fleet is shown."""
+    forwards = peer_forwards.PeerForwards(pytest.fail, 'front-1')
+    forwards.fleet_key = b'secret'
+    token = forward_protocol.make_token(key, 'front-1')
+    head = forward_protocol.wrap(
+        http_messages.Request(b'POST', b'/1', ()),
+        forward_protocol.Envelope('stock-1', 900, token),
+    )
+    refusal = forwards.screen(head)
+    assert (refusal is None) == (key == b'secret')
+    assert forwards.screen(http_messages.Request(b'POST', b'/1', ()))
+
+
 def test_connections_that_break_with_the_links_say_nothing_of_a_version(stranded):
     """Guards against a good version that is rolled back because one instance lost its links."""
     stranded.add_server('new-1', version='v2', slots=99)
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -7,11 +7,16 @@
 
 from rhubarbspar.http1 import client
 from rhubarbspar.http1 import errors
+from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from tests.http1 import conftest
 
 REQUEST = messages.Request(b'GET', b'/', ((b'host', b'h'),))
 ECHO = (b'x-id', b'1')
+BUDGET_BYTES = 4_000_000
+BODY_BYTES = 3_000_000
+STATUS_LINE = b'HTTP/1.1 200 OK\r\n'
+LINES = (b'x: ' + b'y' * 40 + b'\r\n') * 1000
 
 
 class OpenedPool:
@@ -22,19 +27,24 @@
         self.clock = testing.MemoryReactorClock()
         self.now_ms = 0.0
         self.outcomes = []
+        self.budget = memory.MemoryBudget(BUDGET_BYTES)
         self.pool = client.Pool(
-            self.clock, client.Endpoint('10.0.0.1', 80), lambda: self.now_ms, 5000
+            self.clock, client.Endpoint('10.0.0.1', 80), lambda: self.now_ms, 5000, self.budget
         )
         self.connections = []
+        # Whether the servers read nothing.
+        self.stalled = False
 
-    def start(self, expected_echo=None):
+    def start(self, expected_echo=None, request=REQUEST):
         """Start a call and open its connection if it needs a new one."""
-        call = client.Call(REQUEST, self.outcomes.append, expected_echo)
+        call = client.Call(request, self.outcomes.append, expected_echo)
         self.pool.start(call, 300)
         while len(self.clock.tcpClients) > len(self.connections):
             factory = self.clock.tcpClients[len(self.connections)][2]
             connection = factory.buildProtocol(None)
-            connection.makeConnection(conftest.Transport(self.clock))
+            transport = conftest.Transport(self.clock)
+            transport.stalled = self.stalled
+            connection.makeConnection(transport)
             self.connections.append(connection)
         return call
 
@@ -184,3 +194,64 @@
         opened.connections[-1].dataReceived(HEAD[:size])
         opened.lose(error.ConnectionDone())
         assert isinstance(opened.outcomes[-1], errors.BrokenError)
+
+
+@pytest.mark.parametrize(
+    ('head', 'part'),
+    [
+        (STATUS_LINE, LINES),
+        (STATUS_LINE + b'x: ', b'y' * 50_000),
+        (STATUS_LINE + b'Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n', LINES),
+        (STATUS_LINE + b'Transfer-Encoding: chunked\r\n\r\n1;', b'y' * 50_000),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 2000),
+    ],
+    ids=['head', 'header', 'trailers', 'chunk extension', 'interim responses'],
+)
+def test_response_without_end_is_malformed(opened, head, part):
+    """Guards against a server that fills the memory with bytes that are no body."""
+    opened.start()
+    (connection,) = opened.connections
+    connection.dataReceived(head)
+    for _ in range(4):
+        connection.dataReceived(part)
+    assert isinstance(opened.outcomes[0], errors.MalformedError)
+    assert connection.transport.aborted
+    assert not opened.budget.held_bytes
+
+
+@pytest.mark.parametrize('framing', [b'', b'Content-Length: 3000000\r\n'])
+def test_bodies_of_servers_share_one_budget(opened, framing):
+    """Guards against bodies that together take the process over its memory."""
+    calls = [opened.start(), opened.start()]
+    _, second = opened.connections
+    for connection in opened.connections:
+        connection.dataReceived(STATUS_LINE + framing + b'\r\n')
+    for _ in range(40):
+        for connection in opened.connections:
+            if connection.transport.producerState == 'producing':
+                connection.dataReceived(bytes(60_000))
+    assert opened.budget.held_bytes <= BUDGET_BYTES
+    assert second.transport.producerState == 'paused'
+    calls[0].cancel()
+    assert second.transport.producerState == 'producing'
+    calls[1].cancel()
+    assert not opened.budget.held_bytes
+
+
+def test_announced_body_that_never_fits_is_malformed(opened):
+    """Guards against reading a body that cannot be held."""
+    opened.start()
+    opened.connections[0].dataReceived(STATUS_LINE + b'Content-Length: 5000000\r\n\r\n')
+    assert isinstance(opened.outcomes[0], errors.MalformedError)
+
+
+def test_response_before_the_request_is_sent_ends_the_connection(opened):
+    """Guards against the rest of a body that the server takes for the next request."""
+    opened.stalled = True
+    opened.start(request=messages.Request(b'POST', b'/', (), bytes(BODY_BYTES)))
+    (connection,) = opened.connections
+    assert len(connection.transport.value()) < BODY_BYTES
+    connection.dataReceived(STATUS_LINE + b'Content-Length: 2\r\n\r\nhi')
+    assert opened.outcomes[0].body == b'hi'
+    assert connection.transport.aborted
+    assert not opened.budget.held_bytes
--- a/tests/http1/test_messages.py
+++ b/tests/http1/test_messages.py
@@ -17,10 +17,12 @@
 def test_body_is_sent_with_its_length():
     """Guards against a ``Content-Length`` that differs from the body (request smuggling)."""
     request = messages.Request(b'POST', b'/', ((b'content-length', b'99'),), b'abc')
-    assert messages.serialize_request(request) == b'POST / HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc'
+    assert (
+        messages.serialize_request_head(request) == b'POST / HTTP/1.1\r\ncontent-length: 3\r\n\r\n'
+    )
 
 
 def test_unknown_status_has_a_phrase():
     """Guards against an exception for a status code that no standard defines."""
-    sent = messages.serialize_response(messages.Response(599), to_head=False, close=True)
+    sent = messages.serialize_response_head(messages.Response(599), to_head=False, close=True)
     assert sent.startswith(b'HTTP/1.1 599 Unknown\r\n')
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -4,8 +4,13 @@
 from twisted.internet import error
 from twisted.python import failure
 
+from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
+from tests.http1 import conftest
 
+BUDGET_BYTES = 4_000_000
+BODY_BYTES = 3_000_000
+POST = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n'
 GET = b'GET /%d HTTP/1.1\r\nHost: a\r\n\r\n'
 OK = messages.Response(200, ((b'x-name', b'value'),), b'body')
 
@@ -123,3 +128,104 @@
     response = messages.Response(200, ((b'content-length', b'99'),))
     served.exchanges[0].respond(response)
     assert served.sent == b'HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n'
+
+
+@pytest.fixture
+def budget():
+    """Return a budget that has room for one large body."""
+    return memory.MemoryBudget(BUDGET_BYTES)
+
+
+@pytest.fixture
+def limited(budget):
+    """Return a site with a budget of memory."""
+    return conftest.ServedConnection(budget, body_max_bytes=2 * BODY_BYTES, header_max_bytes=16_384)
+
+
+def test_bodies_of_callers_share_one_budget(limited, budget):
+    """Guards against bodies within the limit that together take the process over its memory."""
+    second, second_transport = limited.connect()
+    limited.receive(POST % BODY_BYTES + b'a')
+    second.dataReceived(POST % BODY_BYTES + b'b')
+    assert second_transport.producerState == 'paused'
+    limited.receive(b'a' * (BODY_BYTES - 1))
+    assert budget.held_bytes <= BUDGET_BYTES
+    limited.exchanges[0].respond(OK)
+    assert second_transport.producerState == 'producing'
+    second.dataReceived(b'b' * (BODY_BYTES - 1))
+    assert len(limited.exchanges[1].request.body) == BODY_BYTES
+
+
+def test_body_that_waits_too_long_for_memory_is_refused(limited):
+    """Guards against callers that wait although another instance could serve them."""
+    second, second_transport = limited.connect()
+    limited.receive(POST % BODY_BYTES + b'a')
+    second.dataReceived(POST % BODY_BYTES + b'b')
+    limited.now_ms = 600
+    limited.site.close_expired()
+    assert second_transport.value().startswith(b'HTTP/1.1 503')
+    assert b'retry-after' in second_transport.value()
+    assert not limited.sent
+
+
+def test_body_that_never_fits_is_refused_at_once(limited):
+    """Guards against a wait for memory that the process does not have."""
+    limited.receive(POST % (2 * BODY_BYTES - 1))
+    assert limited.sent.startswith(b'HTTP/1.1 503')
+
+
+def test_announced_body_over_the_limit_is_refused_by_its_head(limited, budget):
+    """Guards against reading a body that will be refused."""
+    limited.receive(POST % (2 * BODY_BYTES + 1))
+    assert limited.sent.startswith(b'HTTP/1.1 413')
+    assert not budget.held_bytes
+
+
+def test_headers_count_with_the_memory_of_their_objects(limited, budget):
+    """Guards against heads of many tiny lines that take many times their size."""
+    limited.receive(b'GET / HTTP/1.1\r\n' + b'a:b\r\n' * 2000)
+    assert budget.held_bytes > 2000 * memory.HEADER_OVERHEAD_BYTES
+
+
+def test_responses_that_are_not_sent_count(limited, budget):
+    """Guards against callers that read nothing and fill the memory with their responses."""
+    limited.receive(GET % 1)
+    limited.transport.stalled = True
+    limited.exchanges[0].respond(messages.Response(200, body=bytes(BODY_BYTES)))
+    assert budget.held_bytes > BODY_BYTES / 2
+    limited.transport.stalled = False
+    limited.transport.drain()
+    assert not budget.held_bytes
+    assert limited.sent.endswith(bytes(BODY_BYTES))
+
+
+def test_stalled_caller_yields_only_while_memory_is_short(limited):
+    """Guards against one caller that reads nothing and blocks the requests of the others."""
+    limited.receive(GET % 1)
+    limited.transport.stalled = True
+    limited.exchanges[0].respond(messages.Response(200, body=bytes(BODY_BYTES)))
+    for now_ms in (0, 5000):
+        limited.now_ms = now_ms
+        limited.site.close_expired()
+    assert not limited.transport.aborted
+    second, _ = limited.connect()
+    second.dataReceived(POST % BODY_BYTES)
+    limited.site.close_expired()
+    assert limited.transport.aborted
+
+
+def test_lost_connection_holds_nothing(limited, budget):
+    """Guards against memory of closed connections that stays counted."""
+    limited.receive(GET % 1 + POST % BODY_BYTES + b'a')
+    limited.channel.connectionLost(failure.Failure(error.ConnectionLost()))
+    limited.exchanges[0].respond(messages.Response(200, body=bytes(1000)))
+    assert not budget.held_bytes
+
+
+def test_sender_is_screened_before_its_body_is_read(budget):
+    """Guards against strangers whose bodies are kept before they are known to be strangers."""
+    refusal = messages.Response(502, keep_alive=False)
+    screened = conftest.ServedConnection(budget, lambda _: refusal, body_max_bytes=BODY_BYTES)
+    screened.receive(POST % BODY_BYTES + b'a')
+    assert screened.sent.startswith(b'HTTP/1.1 502')
+    assert not (screened.exchanges or budget.held_bytes)
