Keep a silent attempt while a second one runs beside it

Cause: the attempt at a silent server was cancelled when another server was chosen, but that one could still refuse the request.

Change: the second attempt runs beside the first (hedged request), and the first response ends the other one. The decisions on retries move from dispatch.py to retries.py.

--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -1,10 +1,8 @@
 """Dispatch of requests: admission, attempts at backend servers, final response.
 
-Patterns: deadline propagation, bounded retries on proof that nothing ran, cancellation.
+Patterns: deadline propagation, bounded retries on proof that nothing ran, hedged requests, cancellation.
 """
 
-import typing
-
 from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import admission
@@ -15,31 +13,13 @@
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import outcomes
 from rhubarbspar.gateway import placement
-from rhubarbspar.gateway import processing_times
 from rhubarbspar.gateway import responses
+from rhubarbspar.gateway import retries
 from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import server_limits
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import version_results
 
-# Servers to which one request may be sent, including those that did not run it. ``attempts_max`` of
-# a route only limits the attempts that may have run.
-SENDS_MAX: typing.Final = 4
-# An attempt at an unresponsive server is given up after this many times its expected time.
-STALLED_FACTOR: typing.Final = 2.0
-STALLED_BASE_MS: typing.Final = 100
-# A retry is only worth its load if this share of the processing time fits into the remaining time.
-RETRY_PROCESSING_SHARE: typing.Final = 0.6
-# In a planned stop, an attempt is only started if this many times its expected time is left. The
-# caller can send an idempotent request again, so it may be cut off more often.
-STOP_TIME_FACTOR: typing.Final = 2.0
-STOP_TIME_FACTOR_IDEMPOTENT: typing.Final = 1.2
-
-# Results after which nothing was sent to a server.
-_NOT_SENT: typing.Final = frozenset(
-    (events.AttemptResult.NOT_FORWARDED, events.AttemptResult.UNREACHABLE)
-)
-
 
 def receive_request(
     state: gateway_state.State, request: models.Request, now_ms: float
@@ -62,7 +42,7 @@
     pending = state.pending.get(number)
     if pending is None:
         return []
-    outputs = _cancel_current(state, pending, now_ms)
+    outputs = _cancel_attempts(state, pending, now_ms)
     state.pending.pop(number)
     waited = (('waited_ms', round(now_ms - pending.arrived_ms)),)
     return [
@@ -80,15 +60,16 @@
         return []
     outputs = outcomes.record_result(state, attempt, ended, now_ms)
     pending = state.pending.get(attempt.request_number)
-    if pending is None or pending.current_attempt is not attempt:
+    if pending is None or attempt not in pending.attempts:
         return outputs
-    pending.current_attempt = None
+    pending.end_attempt(attempt)
     if ended.result == events.AttemptResult.NOT_FORWARDED:
         pending.tried_server_ids.remove(attempt.view.server.server_id)
     if ended.result in version_results.MAY_HAVE_RUN:
         pending.run_count += 1
         pending.may_have_run = True
     if _is_final(ended):
+        outputs.extend(_cancel_attempts(state, pending, now_ms))
         state.pending.pop(attempt.request_number)
         outputs.extend(responses.relay(pending, attempt, ended, now_ms))
         return outputs
@@ -99,8 +80,8 @@
     """Answer the requests that a planned stop does not wait for any longer."""
     outputs: list[core_effects.Effect] = []
     for pending in tuple(state.pending.values()):
-        pending.may_have_run = pending.may_have_run or pending.current_attempt is not None
-        outputs.extend(_cancel_current(state, pending, now_ms))
+        pending.may_have_run = pending.may_have_run or bool(pending.attempts)
+        outputs.extend(_cancel_attempts(state, pending, now_ms))
         outputs.extend(_refuse(state, pending, const.REASON_STOPPING))
     return outputs
 
@@ -112,10 +93,10 @@
     for pending in tuple(state.pending.values()):
         if now_ms >= pending.due_ms:
             outputs.extend(_time_out(state, pending, now_ms))
-        elif pending.current_attempt is not None and _is_stalled(
+        elif pending.current_attempt is not None and retries.is_stalled(
             pending, pending.current_attempt, now_ms
         ):
-            outputs.extend(_retry_elsewhere(state, pending, pending.current_attempt, now_ms))
+            outputs.extend(_try_elsewhere(state, pending, pending.current_attempt, now_ms))
     return outputs
 
 
@@ -166,7 +147,7 @@
     if choice is None:
         retry_after_ms = placement.turned_away_ms(state, pending, now_ms)
         return _refuse(state, pending, package_const.REASON_NO_SERVER, retry_after_ms)
-    if _ends_after_stop(state, pending, choice, now_ms):
+    if retries.ends_after_stop(state, pending, choice, now_ms):
         # Another instance can serve it in time.
         return _refuse(state, pending, const.REASON_STOPPING, admission.STOP_RETRY_AFTER_MS)
     if placement.is_overloaded(pending, choice, now_ms):
@@ -174,17 +155,6 @@
     return _send(state, pending, choice, now_ms)
 
 
-def _ends_after_stop(
-    state: gateway_state.State,
-    pending: gateway_state.PendingRequest,
-    choice: selection.Choice,
-    now_ms: float,
-) -> bool:
-    """Return whether the end of a planned stop may cut an attempt off."""
-    factor = STOP_TIME_FACTOR_IDEMPOTENT if pending.route.idempotent else STOP_TIME_FACTOR
-    return state.stop_ends_ms - now_ms < factor * choice.expected_ms
-
-
 def _send(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
@@ -284,7 +254,10 @@
     outputs: list[core_effects.Effect] = [
         core_effects.Log('attempt_failed', responses.log_fields(pending.request, fields))
     ]
-    if _may_retry(state, pending, ended, now_ms):
+    if pending.attempts:
+        # The response of the other attempt may still come.
+        return outputs
+    if retries.may_retry(state, pending, ended.result, now_ms):
         outputs.append(core_effects.Count(package_const.METRIC_RETRIES, ended.result.value))
         return outputs + _start_attempt(state, pending, now_ms)
     if ended.result == events.AttemptResult.ANSWERED:
@@ -293,34 +266,6 @@
     return outputs + _refuse(state, pending, const.REASON_SERVERS_FULL)
 
 
-def _may_retry(
-    state: gateway_state.State,
-    pending: gateway_state.PendingRequest,
-    ended: events.AttemptEnded,
-    now_ms: float,
-) -> bool:
-    """Return whether a request may be sent again after a failed attempt; uses the retry budget.
-
-    A request that may have run is only sent again on an idempotent route.
-    """
-    route = pending.route
-    if ended.result in version_results.MAY_HAVE_RUN:
-        if not route.idempotent or pending.run_count >= route.attempts_max:
-            return False
-    if admission.crashes_servers(state, pending.request, pending.account, now_ms):
-        return False
-    if pending.send_count >= SENDS_MAX:
-        return False
-    if pending.due_ms - now_ms < RETRY_PROCESSING_SHARE * processing_times.uncached_ms(
-        state, route
-    ):
-        return False
-    if ended.result in _NOT_SENT:
-        # The retry costs no retry budget.
-        return True
-    return state.budget.try_acquire(pending.service_id, state.fleet.registered_count, now_ms)
-
-
 def _refuse(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
@@ -332,30 +277,29 @@
     return responses.refuse_unserved(state, pending, reason, retry_after_ms)
 
 
-def _cancel_current(
+def _cancel_attempts(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> list[core_effects.Effect]:
-    """Cancel the running attempt of a request, which has got no response."""
-    attempt = pending.current_attempt
-    if attempt is None:
-        return []
-    pending.current_attempt = None
-    state.attempts.pop(attempt.attempt_number, None)
-    attempt.release()
-    version_results.record_given_up(state, attempt, now_ms)
-    return [effects.CancelAttempt(attempt.attempt_number)]
+    """Cancel the running attempts of a request, which have got no response."""
+    outputs: list[core_effects.Effect] = []
+    for attempt in pending.attempts:
+        pending.end_attempt(attempt)
+        state.attempts.pop(attempt.attempt_number, None)
+        attempt.release()
+        version_results.record_given_up(state, attempt, now_ms)
+        outputs.append(effects.CancelAttempt(attempt.attempt_number))
+    return outputs
 
 
 def _time_out(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> list[core_effects.Effect]:
     """Refuse a request whose deadline has passed."""
-    attempt = pending.current_attempt
     number = pending.request.request_number
     outputs: list[core_effects.Effect] = []
-    if attempt is not None:
+    for attempt in pending.attempts:
         outputs.extend(outcomes.record_timeout(state, pending, attempt, now_ms))
-    outputs.extend(_cancel_current(state, pending, now_ms))
+    outputs.extend(_cancel_attempts(state, pending, now_ms))
     state.pending.pop(number)
     status = const.STATUS_GATEWAY_TIMEOUT
     return outputs + responses.refuse(
@@ -363,52 +307,47 @@
     )
 
 
-def _is_stalled(
-    pending: gateway_state.PendingRequest, attempt: gateway_state.Attempt, now_ms: float
-) -> bool:
-    """Return whether the server has answered nothing for several times the expected time.
-
-    Only attempts on idempotent routes can stall; the others wait until their deadline.
-    """
-    if attempt.view.last_answer_ms > attempt.started_ms or not pending.route.idempotent:
-        return False
-    waited_ms = now_ms - attempt.started_ms
-    expected_ms = max(attempt.expected_ms, pending.route.latency_objective_ms)
-    return waited_ms > STALLED_BASE_MS + STALLED_FACTOR * expected_ms
-
-
-def _retry_elsewhere(
+def _try_elsewhere(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
-    attempt: gateway_state.Attempt,
+    silent: gateway_state.Attempt,
     now_ms: float,
 ) -> list[core_effects.Effect]:
-    """Send a request to another server if one can get it, and eject the unresponsive one.
+    """Send a request to another server as well, if one can get it.
 
-    The unresponsive server may have run the request. While no other one can get it, the attempt
-    goes on, since its response may still come.
+    Pattern: hedged request. The silent server may work on the request, and the other one may refuse
+    it, so the first attempt goes on until one of them answers.
     """
-    view = attempt.view
-    broken = events.AttemptEnded(attempt.attempt_number, events.AttemptResult.BROKEN)
-    runs_left = pending.run_count + 1 < pending.route.attempts_max
-    if not runs_left or pending.send_count >= SENDS_MAX:
+    if pending.silent_attempt is not None:
         return []
     choice = placement.choose_server(state, pending, now_ms)
     if choice is None or choice.view.ejected_until_ms > now_ms:
         return []
-    if _ends_after_stop(state, pending, choice, now_ms):
+    if retries.ends_after_stop(state, pending, choice, now_ms):
         return []
-    if not _may_retry(state, pending, broken, now_ms):
+    if not retries.may_retry(state, pending, events.AttemptResult.BROKEN, now_ms):
         return []
-    outputs = outcomes.record_silence(state, attempt, now_ms)
-    outputs.extend(_cancel_current(state, pending, now_ms))
-    pending.run_count += 1
-    pending.may_have_run = True
-    fields = (
-        ('server', view.server.server_id),
-        ('waited_ms', round(now_ms - attempt.started_ms)),
-    )
-    outputs.append(effects.ForgetServer(view.server.server_id))
-    outputs.append(core_effects.Log('server_silent', responses.log_fields(pending.request, fields)))
+    pending.silent_attempt = silent
+    outputs = _note_silence(state, pending, silent, now_ms)
     outputs.append(core_effects.Count(package_const.METRIC_RETRIES, 'silent'))
     return outputs + _send(state, pending, choice, now_ms)
+
+
+def _note_silence(
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    silent: gateway_state.Attempt,
+    now_ms: float,
+) -> list[core_effects.Effect]:
+    """Eject the server of a silent attempt, once."""
+    if silent.noted_silent:
+        return []
+    silent.noted_silent = True
+    server_id = silent.view.server.server_id
+    waited_ms = round(now_ms - silent.started_ms)
+    fields = (('server', server_id), ('waited_ms', waited_ms))
+    return [
+        *outcomes.record_silence(state, silent, now_ms),
+        effects.ForgetServer(server_id),
+        core_effects.Log('server_silent', responses.log_fields(pending.request, fields)),
+    ]
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -88,6 +88,8 @@
         Whether the attempt counts as running at the server.
     counted_late
         Whether the results of its version include it as late already.
+    noted_silent
+        Whether its server counts as silent because of it already.
     """
 
     request_number: int
@@ -103,6 +105,7 @@
     forwarder: gateway_fleet.Peer | None = None
     is_running: bool = True
     counted_late: bool = False
+    noted_silent: bool = False
 
     def release(self) -> None:
         """Count the attempt as running no more, at its server and its forwarder."""
@@ -128,6 +131,8 @@
         Attempts that were started.
     may_have_run
         Whether a server may have run an earlier attempt.
+    silent_attempt
+        An earlier attempt that goes on beside the current one.
     """
 
     request: models.Request
@@ -141,6 +146,19 @@
     run_count: int = 0
     send_count: int = 0
     may_have_run: bool = False
+    silent_attempt: Attempt | None = None
+
+    @property
+    def attempts(self) -> tuple[Attempt, ...]:
+        """Return the attempts under way."""
+        candidates = (self.current_attempt, self.silent_attempt)
+        return tuple(attempt for attempt in candidates if attempt is not None)
+
+    def end_attempt(self, attempt: Attempt) -> None:
+        """Remove an attempt; a silent one becomes the current one if it is the only one left."""
+        rest = [candidate for candidate in self.attempts if candidate is not attempt]
+        self.current_attempt = rest[0] if rest else None
+        self.silent_attempt = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -129,6 +129,11 @@
     return match
 
 
+def refusals(outputs: list[core_effects.Effect]) -> list[effects.Refuse]:
+    """Return the refusals among effects."""
+    return [effect for effect in outputs if isinstance(effect, effects.Refuse)]
+
+
 def ended(
     started: effects.StartAttempt, result: events.AttemptResult, **fields: typing.Any
 ) -> events.AttemptEnded:
