Relay only the changes that a replica knows completely

Change: a replica records the revision from which on it is complete, and relays changes from there on. A peer that is further behind gets all records in parts. An instance stops watching for a follower that is complete for it, and advances its revision with peers whose changes it has. The circle of imports between crash_checks, gossip, store_relay and store_records is gone: spread moves to multicast.py, and a test keeps it so.

--- a/rhubarbspar/gateway/crash_checks.py
+++ b/rhubarbspar/gateway/crash_checks.py
@@ -10,9 +10,9 @@
 from rhubarbspar.gateway import crashes
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import gossip
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import multicast
 from rhubarbspar.gateway import state as gateway_state
 
 
@@ -80,7 +80,7 @@
     for crash in state.crashes.confirm_crash(incarnation, since_ms, now_ms):
         age_ms = round(now_ms - crash.crashed_ms)
         seen = messages.CrashSeen(crash.fingerprint, incarnation, age_ms)
-        outputs.extend(gossip.spread(state, seen))
+        outputs.extend(multicast.spread(state, seen))
         fields = (('fingerprint', crash.fingerprint), ('server', incarnation), ('age_ms', age_ms))
         outputs.append(core_effects.Log('crash_confirmed', fields))
     return outputs
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -78,6 +78,8 @@
         the peer has not confirmed it.
     store_reachable_since_ms
         Since when it has been reported, without a gap, to reach the store.
+    complete_from
+        Store revision after which the peer knows all changes.
     links_lost
         Whether it has lost its links to the backend servers.
     forwards_running
@@ -104,6 +106,7 @@
     unconfirmed_ms: float = -math.inf
     leaving: bool = False
     store_reachable_since_ms: float = math.inf
+    complete_from: int = 0
     links_lost: bool = False
     forwards_running: int = 0
     forwarded_ms: float = -math.inf
@@ -128,6 +131,7 @@
             self.revision_changed_ms = now_ms
         self.leaving = heartbeat.leaving
         self.links_lost = heartbeat.links_lost
+        self.complete_from = heartbeat.complete_from
 
     def record_forward(self, now_ms: float) -> None:
         """Count an attempt that the peer is to pass on."""
@@ -283,12 +287,19 @@
         followers = self.store_followers(now_ms)
         return all(self.own_member.instance_id < follower.instance_id for follower in followers)
 
-    def should_follow_store(self, now_ms: float) -> bool:
+    def should_follow_store(self, revision: int, now_ms: float) -> bool:
         """Return whether this instance has to watch the store itself.
 
         One instance of each region watches it, two in a fleet of a single region: those with the
         lowest ids among the instances that reach the store. If there is none, the relays of the
         region start to watch it, and the other instances only if it lacks a follower for long.
+        A follower that has just started counts once this instance has caught up with its start,
+        since it does not know what was deleted before.
+
+        Parameters
+        ----------
+        revision
+            Store revision up to which this instance knows all changes.
         """
         if not self.is_relay and now_ms - self.region_has_follower_ms < const.FOLLOWER_MISSING_MS:
             return False
@@ -299,6 +310,7 @@
             for follower in self.store_followers(now_ms)
             if follower.region == self.own_member.region
             and follower.instance_id < self.own_member.instance_id
+            and self.peers[follower.instance_id].complete_from <= revision
         ]
         return len(preferred) < follower_count
 
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import itertools
 import math
 from collections import abc
 
@@ -17,6 +16,7 @@
 from rhubarbspar.gateway import load_reports
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import multicast
 from rhubarbspar.gateway import quotas
 from rhubarbspar.gateway import rollouts
 from rhubarbspar.gateway import server_limits
@@ -88,7 +88,7 @@
     """Record a crash that a peer has seen, and pass it on along the tree if it is news."""
     recorded = crashes.Crash(crash.fingerprint, crash.server_id, now_ms - crash.age_ms)
     is_news = state.crashes.record_crash(recorded, now_ms)
-    return spread(state, crash, sender_id) if is_news else []
+    return multicast.spread(state, crash, sender_id) if is_news else []
 
 
 def _known_crashes(
@@ -110,29 +110,6 @@
     ]
 
 
-def spread(
-    state: gateway_state.State, message: messages.GatewayMessage, sender_id: str | None = None
-) -> list[core_effects.Effect]:
-    """Return the effect that sends a message on along the tree.
-
-    Parameters
-    ----------
-    sender_id
-        Peer from which the message came; ``None`` for a message of this instance.
-    """
-    sender = state.fleet.peers.get(sender_id or '')
-    relations = {fleet.Relation.CHILD}
-    if sender_id is None:
-        relations |= {fleet.Relation.RELAY, fleet.Relation.PARENT}
-    elif sender is not None and sender.relation == fleet.Relation.CHILD:
-        relations.add(fleet.Relation.RELAY)
-    receivers = itertools.chain.from_iterable(
-        state.fleet.related_peers(relation) for relation in sorted(relations, key=repr)
-    )
-    receiver_ids = tuple(peer_id for peer_id in receivers if peer_id != sender_id)
-    return [core_effects.Multicast(receiver_ids, message)] if receiver_ids else []
-
-
 def tick(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Do what is due: dial peers, evaluate rollouts, send heartbeats and record rollout progress."""
     outputs: list[core_effects.Effect] = []
@@ -346,6 +323,8 @@
         _loads(state, relation, now_ms),
         state.links.are_lost,
         _ids(peer for peer in live if peer.links_lost),
+        state.replica.complete_from,
+        state.replica.changed_revision,
     )
 
 
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -1,9 +1,12 @@
 """Messages between gateways."""
 
 import dataclasses
+import typing
 
 from rhubarbspar.core import messages
 
+UNKNOWN_REVISION: typing.Final = -1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewayMessage(messages.Message):
@@ -117,6 +120,11 @@
         Whether the sender has lost its links to the backend servers.
     links_lost_ids
         Instances that have, as in ``leaving_ids``.
+    complete_from
+        Store revision after which the sender knows all changes, deletions included.
+    changed_revision
+        Store revision of the last change that the sender relays; ``UNKNOWN_REVISION`` from a
+        release that does not report it.
     """
 
     incarnation: str
@@ -135,6 +143,8 @@
     loads: tuple[ServerLoad, ...] = ()
     links_lost: bool = False
     links_lost_ids: tuple[str, ...] = ()
+    complete_from: int = 0
+    changed_revision: int = UNKNOWN_REVISION
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,6 +173,28 @@
     records: tuple[RelayedRecord, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreSnapshotPart(GatewayMessage):
+    """Part of all records of the store, for a peer whose changes the sender does not all know.
+
+    The parts follow each other in the order of the keys.
+
+    Attributes
+    ----------
+    revision
+        Store revision that the peer reaches with the last part.
+    after_key
+        Last key of the part before; empty in the first part.
+    is_last
+        Whether no part follows.
+    """
+
+    revision: int
+    after_key: str
+    is_last: bool
+    records: tuple[RelayedRecord, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashSeen(GatewayMessage):
     """A backend server crashed while it ran a request with this fingerprint.
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -8,10 +8,12 @@
 from rhubarbspar.gateway import affinity
 from rhubarbspar.gateway import budget as retry_budget
 from rhubarbspar.gateway import const
+from rhubarbspar.gateway import events
 from rhubarbspar.gateway import crashes as poison_requests
 from rhubarbspar.gateway import fleet as gateway_fleet
 from rhubarbspar.gateway import groups as server_groups
 from rhubarbspar.gateway import load_reports as server_loads
+from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import quotas as account_quotas
 from rhubarbspar.gateway import rollouts as rollout_state
@@ -170,6 +172,24 @@
     due_ms: float
 
 
+@dataclasses.dataclass(slots=True)
+class PartialSnapshot:
+    """Parts of a snapshot of the store that have come from a peer."""
+
+    revision: int
+    last_key: str = ''
+    records: list[events.RecordRead] = dataclasses.field(default_factory=list)
+
+    def add(self, part: messages.StoreSnapshotPart) -> bool:
+        """Add a part; return whether it follows the last one."""
+        if (part.revision, part.after_key) != (self.revision, self.last_key):
+            return False
+        for record in part.records:
+            self.records.append(events.RecordRead(record.key, record.revision, record.content))
+            self.last_key = record.key
+        return True
+
+
 @dataclasses.dataclass(slots=True)
 class Lifecycle:
     """Progress of the planned stop; ``stop_requested_ms`` is infinite until a stop is requested."""
@@ -213,6 +233,8 @@
         Links of this instance to the backend servers.
     target_credits
         Credits of the services of each route with several targets (weighted round robin).
+    partial_snapshots
+        Snapshots of the store that are arriving, by peer.
     is_store_follower
         Whether this instance watches the store itself.
     limits_updated_ms
@@ -250,6 +272,7 @@
     pending: dict[int, PendingRequest] = dataclasses.field(default_factory=dict)
     attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
     forwards: dict[int, Forward] = dataclasses.field(default_factory=dict)
+    partial_snapshots: dict[str, PartialSnapshot] = dataclasses.field(default_factory=dict)
     links: server_links.ServerLinks = dataclasses.field(default_factory=server_links.ServerLinks)
     target_credits: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
     lifecycle: Lifecycle = dataclasses.field(default_factory=Lifecycle)
--- a/rhubarbspar/gateway/store_relay.py
+++ b/rhubarbspar/gateway/store_relay.py
@@ -48,8 +48,12 @@
 ) -> None:
     """Note that the sender of a heartbeat, or an instance that it speaks for, reaches the store."""
     is_reached = heartbeat.store_reachable or heartbeat.follower_ids
-    if is_reached and not state.is_store_follower:
-        state.replica.mark_reachable(0, now_ms, state.fleet.earliest_store_contact_ms(now_ms))
+    if is_reached:
+        _note_relayed(state, now_ms)
+    known = store_replica.KnownRevisions(
+        heartbeat.store_revision, heartbeat.complete_from, heartbeat.changed_revision
+    )
+    state.replica.advance_with(known)
 
 
 def apply_relayed_changes(
@@ -57,8 +61,7 @@
 ) -> list[core_effects.Effect]:
     """Apply store changes that a peer relays, if they continue from the known revision."""
     replica = state.replica
-    if not state.is_store_follower:
-        replica.mark_reachable(0, now_ms, state.fleet.earliest_store_contact_ms(now_ms))
+    _note_relayed(state, now_ms)
     base_revision = replica.changed_revision
     if relayed.revision <= replica.revision or relayed.base_revision > replica.revision:
         return []
@@ -72,6 +75,36 @@
     return [core_effects.Log('news_relayed', log_fields), *passed_on, *applied]
 
 
+def apply_relayed_snapshot(
+    state: gateway_state.State,
+    peer_id: str,
+    part: messages.StoreSnapshotPart,
+    now_ms: float,
+) -> list[core_effects.Effect]:
+    """Collect the parts of a snapshot from a peer; apply it once it is complete and newer."""
+    if not part.after_key:
+        state.partial_snapshots[peer_id] = gateway_state.PartialSnapshot(part.revision)
+    partial = state.partial_snapshots.get(peer_id)
+    if partial is None or not partial.add(part):
+        return []
+    if not part.is_last:
+        return []
+    state.partial_snapshots.pop(peer_id)
+    if part.revision <= state.replica.revision:
+        return []
+    _note_relayed(state, now_ms)
+    snapshot = events.StoreSnapshot(tuple(partial.records), part.revision)
+    changed = state.replica.apply_snapshot(snapshot, now_ms)
+    log_fields = (
+        ('peer', peer_id),
+        ('revision', part.revision),
+        ('records', len(partial.records)),
+        ('changed', len(changed)),
+    )
+    applied = store_records.apply_records(state, changed, now_ms)
+    return [core_effects.Log('snapshot_relayed', log_fields), *applied]
+
+
 def relay_changes(
     state: gateway_state.State, base_revision: int, now_ms: float
 ) -> list[core_effects.Effect]:
@@ -96,7 +129,12 @@
     if not (is_overdue or _is_responsible_for(state, peer, now_ms)):
         return []
     base_revision = peer.next_unsent_revision(now_ms)
-    return _send_changes(state, base_revision, [peer.member.instance_id], now_ms)
+    if base_revision and base_revision >= state.replica.complete_from:
+        return _send_changes(state, base_revision, [peer.member.instance_id], now_ms)
+    if base_revision and not (is_overdue or peer.relation == fleet.Relation.CHILD):
+        # Another instance may know all changes since then.
+        return []
+    return _send_snapshot(state, peer, now_ms)
 
 
 def update_following(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
@@ -106,7 +144,8 @@
     """
     if state.fleet.has_follower(state.fleet.own_member.region, now_ms):
         state.fleet.region_has_follower_ms = now_ms
-    should_follow = not state.replica.revision or state.fleet.should_follow_store(now_ms)
+    revision = state.replica.revision
+    should_follow = not revision or state.fleet.should_follow_store(revision, now_ms)
     if should_follow == state.is_store_follower:
         return []
     state.is_store_follower = should_follow
@@ -115,6 +154,12 @@
     return [effects.FollowStore(should_follow), core_effects.Log('store_following', log_fields)]
 
 
+def _note_relayed(state: gateway_state.State, now_ms: float) -> None:
+    """Note that a peer reaches the store, unless this instance watches it itself."""
+    if not state.is_store_follower:
+        state.replica.mark_reachable(0, now_ms, state.fleet.earliest_store_contact_ms(now_ms))
+
+
 def _is_fed_here(state: gateway_state.State, peer: fleet.Peer) -> bool:
     """Return whether this instance, watching the store, passes its changes to a peer."""
     if peer.relation in _TREE:
@@ -163,9 +208,13 @@
 def _send_changes(
     state: gateway_state.State, base_revision: int, receiver_ids: list[str], now_ms: float
 ) -> list[core_effects.Effect]:
-    """Return the effects that send the changes after a revision, if there are any."""
+    """Return the effects that send the changes after a revision, if there are any.
+
+    They begin where this instance knows all changes; a peer that is further behind refuses them.
+    """
     if not receiver_ids:
         return []
+    base_revision = max(base_revision, state.replica.complete_from)
     batches = state.replica.change_batches(base_revision, BATCH_MAX_BYTES)
     if not batches:
         return []
@@ -174,14 +223,44 @@
     return [_relay_batch(batch, receiver_ids) for batch in batches]
 
 
+def _send_snapshot(
+    state: gateway_state.State, peer: fleet.Peer, now_ms: float
+) -> list[core_effects.Effect]:
+    """Return the effects that send a peer all records."""
+    replica = state.replica
+    if not replica.revision:
+        return []
+    peer_id = peer.member.instance_id
+    peer.record_sent_changes(replica.revision, now_ms)
+    log_fields = (
+        ('peer', peer_id),
+        ('peer_revision', peer.store_revision),
+        ('complete_from', replica.complete_from),
+        ('revision', replica.revision),
+    )
+    outputs: list[core_effects.Effect] = [core_effects.Log('snapshot_sent', log_fields)]
+    outputs.extend(
+        core_effects.SendMessage(
+            peer_id,
+            messages.StoreSnapshotPart(
+                replica.revision, part.after_key, part.is_last, _relayed(part.records)
+            ),
+        )
+        for part in replica.snapshot_parts(BATCH_MAX_BYTES)
+    )
+    return outputs
+
+
 def _relay_batch(
     batch: store_replica.ChangeBatch, receiver_ids: list[str]
 ) -> core_effects.SendMessage | core_effects.Multicast:
-    records = tuple(
-        messages.RelayedRecord(record.key, record.revision, record.content)
-        for record in batch.records
-    )
-    relayed = messages.StoreNews(batch.base_revision, batch.revision, records)
+    relayed = messages.StoreNews(batch.base_revision, batch.revision, _relayed(batch.records))
     if len(receiver_ids) == 1:
         return core_effects.SendMessage(receiver_ids[0], relayed)
     return core_effects.Multicast(tuple(receiver_ids), relayed)
+
+
+def _relayed(records: tuple[events.RecordRead, ...]) -> tuple[messages.RelayedRecord, ...]:
+    return tuple(
+        messages.RelayedRecord(record.key, record.revision, record.content) for record in records
+    )
--- a/rhubarbspar/gateway/store_replica.py
+++ b/rhubarbspar/gateway/store_replica.py
@@ -23,6 +23,15 @@
 RESTORE_GRACE_MS: typing.Final = 2200
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownRevisions:
+    """Up to which revision a replica knows the store, from which on, and its last change."""
+
+    revision: int
+    complete_from: int
+    changed: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChangeBatch:
     """Changes that lead from one revision to another."""
@@ -32,6 +41,15 @@
     records: tuple[events.RecordRead, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotPart:
+    """Some of the records, in the order of their keys; ``after_key`` ends the part before."""
+
+    after_key: str
+    is_last: bool
+    records: tuple[events.RecordRead, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class StoreReplica:
     """Records and tombstones by key, and how far they are known to be current.
@@ -40,6 +58,9 @@
     ----------
     revision
         Store revision up to which all changes are known; 0 before the first snapshot.
+    complete_from
+        Store revision after which all changes are known, deletions included. Earlier deletions may
+        be missing: a snapshot has none, and old tombstones are dropped.
     reachable
         Whether the last contact with the store, by this instance or a peer, succeeded.
     directly_reachable
@@ -59,6 +80,7 @@
 
     revision: int = 0
     changed_revision: int = 0
+    complete_from: int = 0
     reachable: bool = False
     directly_reachable: bool = False
     last_contact_ms: float = float('-inf')
@@ -72,9 +94,12 @@
     ) -> tuple[events.RecordRead, ...]:
         """Replace all records by a snapshot; return what changed, tombstones included.
 
-        Records of an earlier era that the snapshot lacks are kept until ``lost_removed_ms``.
+        Records of an earlier era that the snapshot lacks are kept until ``lost_removed_ms``. What
+        was written and deleted since the known revision is in neither of them.
         """
         self.mark_reachable(snapshot.revision, now_ms, now_ms)
+        self.complete_from = max(self.complete_from, snapshot.revision)
+        self.changed_revision = max(self.changed_revision, snapshot.revision)
         current = {record.key: record for record in snapshot.records}
         deleted = [
             events.RecordRead(known.key, snapshot.revision, None)
@@ -87,6 +112,8 @@
         self, records: tuple[events.RecordRead, ...], revision: int, now_ms: float
     ) -> tuple[events.RecordRead, ...]:
         """Merge changes; return those that are newer than the known records."""
+        if not self.revision:
+            self.complete_from = revision
         self._advance(revision, now_ms)
         return self._merge(records)
 
@@ -122,6 +149,16 @@
         self.reachable = False
         self.directly_reachable = False
 
+    def advance_with(self, known: KnownRevisions) -> None:
+        """Advance to the revision of a peer that has relayed all its changes.
+
+        Without this, the revision would stay at that of the last relayed change, and this instance
+        would seem to lack changes that there were not.
+        """
+        has_all = known.complete_from <= self.revision and known.changed <= self.revision
+        if has_all and self.revision and known.changed >= 0:
+            self.revision = max(self.revision, known.revision)
+
     def changes_after(self, revision: int) -> tuple[events.RecordRead, ...]:
         """Return the records and tombstones that have changed since a revision.
 
@@ -160,6 +197,30 @@
             batches.append(ChangeBatch(base_revision, self.revision, tuple(records)))
         return tuple(batches)
 
+    def snapshot_parts(self, bytes_max: int) -> tuple[SnapshotPart, ...]:
+        """Return all records in parts.
+
+        Parameters
+        ----------
+        bytes_max
+            Size of the contents of a part; a part has one record at least.
+        """
+        parts: list[SnapshotPart] = []
+        records: list[events.RecordRead] = []
+        after_key = ''
+        size = 0
+        for record in sorted(self._existing(), key=operator.attrgetter('key')):
+            added = len(record.content or b'')
+            if records and size + added > bytes_max:
+                parts.append(SnapshotPart(after_key, is_last=False, records=tuple(records)))
+                after_key = records[-1].key
+                records = []
+                size = 0
+            records.append(record)
+            size += added
+        parts.append(SnapshotPart(after_key, is_last=True, records=tuple(records)))
+        return tuple(parts)
+
     def note_unreadable(self, record: events.RecordRead) -> None:
         """Note a change to a content that no instance can read; it is kept without the content."""
         self.records[record.key] = dataclasses.replace(record, content=b'')
@@ -223,3 +284,4 @@
         if excess > 0:
             for record in sorted(tombstones, key=operator.attrgetter('revision'))[:excess]:
                 self.records.pop(record.key)
+                self.complete_from = max(self.complete_from, record.revision)
--- a/tests/gateway/fleet_network.py
+++ b/tests/gateway/fleet_network.py
@@ -57,6 +57,8 @@
         self.cut_pairs = set()
         self.turned_away = set()
         self.without_changes = set()
+        # Time by which a watch delivers a change later than a message takes.
+        self.watch_delay_ms = 0
         self.store_revision = 0
         self.records = {}
         self._domains = domains
@@ -74,13 +76,9 @@
         region = self._domains[domain]
         member = models.Member(instance_id, incarnation, domain, region, f'{instance_id}:80', '')
         self.instances[instance_id] = Instance(member, self.now_ms, self._domains)
-        snapshot = tuple(
-            events.RecordRead(key, revision, content)
-            for key, (revision, content) in self.records.items()
-        )
         self.instances[instance_id].records = self._decoded
-        if self.store_revision:
-            self._reduce(instance_id, events.StoreSnapshot(snapshot, self.store_revision))
+        if self.store_revision and instance_id not in self.turned_away:
+            self._reduce(instance_id, self._snapshot())
         self.write(f'members/{instance_id}', member)
 
     def kill(self, instance_id):
@@ -109,7 +107,7 @@
         )
         for instance_id, instance in self.instances.items():
             if instance.following and instance_id not in self.turned_away:
-                self._later(instance_id, change)
+                self._later(instance_id, change, added_ms=self.watch_delay_ms)
 
     def restore(self, lost_keys):
         """Restore the store from a copy without some keys; its revisions begin again below."""
@@ -120,13 +118,9 @@
             for key, (_, content) in self.records.items()
             if key not in lost_keys
         }
-        snapshot = tuple(
-            events.RecordRead(key, revision, content)
-            for key, (revision, content) in self.records.items()
-        )
         for instance_id, instance in self.instances.items():
             if instance.following and instance_id not in self.turned_away:
-                self._later(instance_id, events.StoreSnapshot(snapshot, self.store_revision))
+                self._later(instance_id, self._snapshot())
 
     def turn_away(self, instance_ids):
         """Let the store refuse the calls of some instances, and serve all others."""
@@ -144,7 +138,7 @@
             self.now_ms += TICK_MS
             while self._queue and self._queue[0][0] <= self.now_ms:
                 _, _, instance_id, event, pair = heapq.heappop(self._queue)
-                if instance_id in self.instances and self._is_up(pair):
+                if self._is_deliverable(instance_id, event, pair):
                     outputs.setdefault(instance_id, []).extend(self._reduce(instance_id, event))
             for instance_id in tuple(self.instances):
                 if instance_id in self.turned_away and self.instances[instance_id].following:
@@ -173,6 +167,13 @@
         """Deliver an event to an instance at once; return the effects."""
         return self._reduce(instance_id, event)
 
+    def _is_deliverable(self, instance_id, event, pair):
+        """Return whether an event still reaches its instance; no watch goes on unasked for."""
+        instance = self.instances.get(instance_id)
+        if instance is None or not self._is_up(pair):
+            return False
+        return instance.following or not isinstance(event, events.StoreChanged)
+
     def _is_up(self, pair):
         return pair is None or (pair in self.connections and pair not in self.cut_pairs)
 
@@ -204,6 +205,9 @@
         if instance_id in self.turned_away:
             return
         known = self.instances[instance_id].state.replica.revision
+        if not known:
+            self._later(instance_id, self._snapshot())
+            return
         missed = tuple(
             events.RecordRead(key, revision, content)
             for key, (revision, content) in self.records.items()
@@ -214,7 +218,8 @@
     def _send(self, sender_id, receiver_id, message):
         pair = frozenset((sender_id, receiver_id))
         self.instances[sender_id].message_count += 1
-        if isinstance(message, messages.StoreNews) and receiver_id in self.without_changes:
+        is_change = isinstance(message, messages.StoreNews | messages.StoreSnapshotPart)
+        if is_change and receiver_id in self.without_changes:
             return
         if self._is_up(pair):
             self._later(receiver_id, core_events.MessageReceived(sender_id, message), pair)
@@ -234,9 +239,18 @@
             (other_id,) = pair - {instance_id}
             self._later(instance_id, core_events.PeerDisconnected(other_id))
 
-    def _later(self, instance_id, event, pair=None):
+    def _snapshot(self):
+        """Return all records of the store; it does not list deleted keys."""
+        existing = tuple(
+            events.RecordRead(key, revision, content)
+            for key, (revision, content) in self.records.items()
+            if content is not None
+        )
+        return events.StoreSnapshot(existing, self.store_revision)
+
+    def _later(self, instance_id, event, pair=None, added_ms=0):
         """Deliver an event after a random delay, in order within a connection."""
-        delay_ms = self.random.uniform(DELAY_MIN_MS, DELAY_MAX_MS)
+        delay_ms = added_ms + self.random.uniform(DELAY_MIN_MS, DELAY_MAX_MS)
         stream = (instance_id, pair)
         due_ms = max(self.now_ms + delay_ms, self._last_due_ms.get(stream, 0))
         self._last_due_ms[stream] = due_ms
--- a/tests/gateway/test_imports.py
+++ b/tests/gateway/test_imports.py
@@ -1,5 +1,7 @@
 """The packages that a gateway needs at run time."""
 
+import ast
+import graphlib
 import pathlib
 import subprocess
 import sys
@@ -31,3 +33,20 @@
     """Guards against deploying dependency versions that differ from those used in the tests."""
     deployed = pinned(ROOT / 'deploy' / 'requirements.txt')
     assert deployed < pinned(ROOT / 'requirements.txt')
+
+
+def imported_modules(path):
+    """Return the names of the modules of the gateway that one of them imports."""
+    return {
+        alias.name
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.ImportFrom) and node.module == 'rhubarbspar.gateway'
+        for alias in node.names
+    }
+
+
+def test_modules_do_not_import_each_other_in_a_circle():
+    """Guards against modules that only work when they are imported in a certain order."""
+    modules = (ROOT / 'rhubarbspar' / 'gateway').glob('*.py')
+    graph = {path.stem: imported_modules(path) for path in modules}
+    graphlib.TopologicalSorter(graph).prepare()
