Answer what was read, and send all of it, before a planned stop ends

Cause: the stop waited for pending requests, not for bytes that were not written; and the first response of a stopping instance dropped the requests behind it.

Change: the tick tells the reducer how many connections have a response under way, and the process waits for them within its grace period. A connection that is to close reads no more and closes with the last response.

test_requests_after_a_closing_response_are_abandoned asked for the fault. No response of the product closes a connection with requests behind it unless the instance stops, and those requests are at servers. It now asks that all of them are answered and that the last response closes the connection.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -173,7 +173,8 @@
         paused_ms = max(0.0, now_ms - self._last_tick_ms - package_const.TICK_INTERVAL_MS)
         self._last_tick_ms = now_ms
         self._store.advance_to(self._state.replica.revision)
-        self._driver.deliver(events.ClockTicked(paused_ms))
+        unsent_count = self._listeners.unsent_count if self._state.is_stopping else 0
+        self._driver.deliver(events.ClockTicked(paused_ms, unsent_count))
 
     def _sweep(self) -> None:
         self._listeners.close_expired()
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -148,6 +148,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClockTicked(events.Event):
-    """The regular timer fired; ``paused_ms`` is by how much it fired late."""
+    """The regular timer fired.
+
+    Attributes
+    ----------
+    paused_ms
+        By how much it fired late.
+    unsent_count
+        Connections with a response that is not sent yet; counted during a planned stop only.
+    """
 
     paused_ms: float = 0
+    unsent_count: int = 0
--- a/rhubarbspar/gateway/lifecycle.py
+++ b/rhubarbspar/gateway/lifecycle.py
@@ -23,8 +23,14 @@
     return outputs + gossip.send_heartbeats(state, now_ms)
 
 
-def tick(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
-    """Return the effects of the steps of a planned stop that are due."""
+def tick(state: gateway_state.State, unsent_count: int, now_ms: float) -> list[core_effects.Effect]:
+    """Return the effects of the steps of a planned stop that are due.
+
+    Parameters
+    ----------
+    unsent_count
+        Connections with a response that is not sent yet; the process waits for them too.
+    """
     lifecycle = state.lifecycle
     elapsed_ms = now_ms - lifecycle.stop_requested_ms
     outputs: list[core_effects.Effect] = []
@@ -37,9 +43,10 @@
         lifecycle.stopped_listening = True
         outputs.append(effects.StopListening())
     is_overdue = now_ms >= state.stop_ends_ms
-    if is_overdue or not (state.pending or state.forwards):
+    if is_overdue or not (state.pending or state.forwards or unsent_count):
         lifecycle.exited = True
-        outputs.append(core_effects.Log('stopped', (('pending', len(state.pending)),)))
+        log_fields = (('pending', len(state.pending)), ('unsent', unsent_count))
+        outputs.append(core_effects.Log('stopped', log_fields))
         outputs.extend(dispatch.end_pending(state, now_ms))
         outputs.append(effects.Exit())
     return outputs
--- a/rhubarbspar/gateway/listeners.py
+++ b/rhubarbspar/gateway/listeners.py
@@ -89,6 +89,11 @@
         for site in self._sites:
             site.abort()
 
+    @property
+    def unsent_count(self) -> int:
+        """Return the number of callers' and peers' connections with a response under way."""
+        return sum(site.unsent_count for site in self._sites)
+
     def close_expired(self) -> None:
         """Close the connections that exceed their idle or header timeout."""
         for site in self._sites:
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -46,8 +46,8 @@
             return dispatch.finish_attempt(state, event, now_ms)
         case events.RequestAbandoned(request_number):
             return dispatch.abandon_request(state, request_number, now_ms)
-        case events.ClockTicked(paused_ms):
-            return _tick(state, paused_ms, now_ms)
+        case events.ClockTicked():
+            return _tick(state, event, now_ms)
         case core_events.StopRequested():
             return lifecycle.request_stop(state, now_ms)
         case events.ForwardReceived() | events.ForwardAbandoned() | events.ProbeEnded():
@@ -135,9 +135,12 @@
     return []
 
 
-def _tick(state: gateway_state.State, paused_ms: float, now_ms: float) -> list[core_effects.Effect]:
+def _tick(
+    state: gateway_state.State, ticked: events.ClockTicked, now_ms: float
+) -> list[core_effects.Effect]:
     """Run all periodic tasks; after a long pause, also ask the store again."""
     outputs: list[core_effects.Effect] = []
+    paused_ms = ticked.paused_ms
     if paused_ms > const.PROCESS_PAUSE_MIN_MS:
         outputs.append(core_effects.Log('process_paused', (('paused_ms', round(paused_ms)),)))
         outputs.append(effects.RefreshStore())
@@ -147,7 +150,7 @@
     outputs.extend(store_records.remove_lapsed_servers(state, now_ms))
     outputs.extend(_check_attempts(state, now_ms))
     outputs.extend(gossip.tick(state, now_ms))
-    outputs.extend(lifecycle.tick(state, now_ms))
+    outputs.extend(lifecycle.tick(state, ticked.unsent_count, now_ms))
     return outputs
 
 
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -112,8 +112,11 @@
 
     @property
     def unsent_count(self) -> int:
-        """Return the number of connections with a response that is not sent yet."""
-        return sum(not channel.writer.is_sent for channel in self.channels)
+        """Return the number of connections with a response that may not have arrived yet.
+
+        That is so while it is written, and until the client has closed its side after the last one.
+        """
+        return sum(channel.closing or not channel.writer.is_sent for channel in self.channels)
 
     def close_expired(self) -> None:
         """Close connections that are idle or stalled, and refuse requests that are overdue."""
@@ -209,22 +212,34 @@
             self._close()
 
     def flush(self) -> None:
-        """Write the responses that are ready, in the order of the requests."""
+        """Write the responses that are ready, in the order of the requests.
+
+        A connection closes after the requests that were read, since servers may run them. Until
+        then, no more are read.
+        """
         while self._pending and self._pending[0].response is not None:
             exchange = self._pending.popleft()
             response = exchange.response
             if response is None:
                 return
-            close = self._site.closing or not (exchange.keep_alive and response.keep_alive)
+            keep_alive = exchange.keep_alive and response.keep_alive
+            if self._site.closing or not keep_alive:
+                self._reading.is_ending = True
+            close = self._reading.is_ending and not self._pending
             self._write(exchange, response, close=close)
             if close:
-                self._abandon_pending()
                 self._close()
                 return
         self._update_reading()
 
     def receive_request(self, request: messages.Request, share: memory.Share) -> None:
-        """Pass a request to the site; stop reading at ``PIPELINE_MAX`` pending requests."""
+        """Pass a request to the site; stop reading at ``PIPELINE_MAX`` pending requests.
+
+        A request behind the last one that is answered is dropped: the client sends it again.
+        """
+        if self._reading.is_ending:
+            share.release()
+            return
         exchange = Exchange(self, request, share, keep_alive=self._parser.should_keep_alive())
         self._pending.append(exchange)
         self._update_reading()
@@ -260,7 +275,9 @@
 
     def _update_reading(self) -> None:
         """Pause or resume reading, as the pending requests and the memory permit."""
-        must_pause = self._reading.waits_for_memory or len(self._pending) >= const.PIPELINE_MAX
+        reading = self._reading
+        is_full = len(self._pending) >= const.PIPELINE_MAX
+        must_pause = reading.waits_for_memory or reading.is_ending or is_full
         if not self.closing:
             self._reading.switch(self.transport, is_paused=must_pause)
 
@@ -324,11 +341,14 @@
 
     Attributes
     ----------
+    is_ending
+        Whether the connection closes after the pending requests.
     waiting_since_ms
         Since when the request waits for memory; infinity if it does not.
     """
 
     is_paused: bool = False
+    is_ending: bool = False
     waiting_since_ms: float = math.inf
 
     @property
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -57,6 +57,24 @@
     assert effect_types(outputs).count(effects.Exit) == 1
 
 
+def test_process_waits_until_its_responses_are_sent(gateway):
+    """Guards against slow callers whose responses a planned stop cuts off."""
+    stop(gateway)
+    gateway.advance(const.STOP_REFUSE_AFTER_MS - 50)
+    gateway.now_ms += 50
+    assert effects.Exit not in effect_types(gateway.reduce(events.ClockTicked(unsent_count=1)))
+    gateway.now_ms += 50
+    assert effects.Exit in effect_types(gateway.reduce(events.ClockTicked()))
+
+
+def test_slow_callers_do_not_outlast_the_grace_period(gateway):
+    """Guards against a caller that takes nothing, so that the process is killed."""
+    stop(gateway)
+    gateway.advance(const.STOP_REFUSE_AFTER_MS - 50)
+    gateway.now_ms = gateway.state.stop_ends_ms
+    assert effects.Exit in effect_types(gateway.reduce(events.ClockTicked(unsent_count=1)))
+
+
 def test_second_request_to_stop_changes_nothing(gateway):
     """Guards against a second request to stop that restarts the sequence and delays the exit."""
     stop(gateway)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -43,14 +43,50 @@
     assert served.sent.index(b'first') < served.sent.index(b'second')
 
 
-def test_requests_after_a_closing_response_are_abandoned(served):
-    """Guards against work on requests that the client will send again on another connection."""
-    served.receive(GET % 1 + GET % 2)
+@pytest.mark.parametrize('reason', ['site', 'response'])
+def test_requests_that_were_read_are_answered_before_the_connection_closes(served, reason):
+    """Guards against requests at work at servers that get no answer in a planned stop."""
+    served.receive(GET % 1 + GET % 2 + GET % 3)
     abandoned = []
-    served.exchanges[1].on_abandoned = lambda: abandoned.append(2)
-    served.exchanges[0].respond(messages.Response(200, keep_alive=False))
-    assert b'connection: close' in served.sent
-    assert abandoned == [2]
+    for exchange in served.exchanges:
+        exchange.on_abandoned = lambda: abandoned.append(1)
+    served.site.closing = reason == 'site'
+    served.exchanges[0].respond(messages.Response(200, keep_alive=reason != 'response'))
+    assert not served.transport.write_closed
+    served.exchanges[2].respond(OK)
+    served.exchanges[1].respond(OK)
+    assert served.sent.count(b'HTTP/1.1 200') == 3
+    assert served.sent.count(b'connection: close') == 1
+    assert served.sent.rindex(b'connection: close') > served.sent.rindex(b'HTTP/1.1 200')
+    assert served.transport.write_closed
+    assert not abandoned
+
+
+def test_no_request_is_read_once_the_connection_is_to_close(served):
+    """Guards against requests that are passed on although the client will send them again."""
+    served.receive(GET % 1 + GET % 2)
+    served.site.closing = True
+    served.exchanges[0].respond(OK)
+    assert served.transport.producerState == 'paused'
+    served.receive(GET % 3)
+    assert len(served.exchanges) == 2
+    served.exchanges[1].respond(OK)
+    assert served.transport.producerState == 'producing'
+    assert served.transport.write_closed
+
+
+def test_slow_client_gets_its_whole_response_before_the_connection_closes(served):
+    """Guards against responses that are cut because the connection closes too early."""
+    served.site.closing = True
+    served.receive(GET % 1)
+    served.transport.stalled = True
+    served.exchanges[0].respond(messages.Response(200, body=bytes(300_000)))
+    served.clock.advance(5)
+    assert not (served.transport.write_closed or served.transport.disconnecting)
+    assert served.site.unsent_count == 1
+    served.transport.stalled = False
+    served.transport.drain()
+    assert served.sent.endswith(bytes(300_000))
     assert served.transport.write_closed
 
 
