Never stay up half started, and keep every loop of the daemon running

Operators saw processes that did not start or ended by themselves. Shown with real processes: a taken port left the process up but never ready; settings that were away for a moment were never followed again; SIGHUP within the first 80 ms ended the process.

All ports are bound first, readiness last; the fixed metrics port keeps nothing from serving.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -1,18 +1,16 @@
 """The gateway daemon: builds the parts of a gateway and runs them in one process."""
 
 import asyncio
+import functools
 import importlib
 import pathlib
 import signal
 import sys
 import time
 import typing
-from collections import abc
 
-import loguru
 from twisted.internet import asyncioreactor
 from twisted.internet import defer
-from twisted.internet import task
 
 from rhubarbspar import const as package_const
 from rhubarbspar import exceptions
@@ -27,8 +25,10 @@
 from rhubarbspar.gateway import log_stream
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import settings as gateway_settings
+from rhubarbspar.gateway import settings_wait
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_tasks
+from rhubarbspar.gateway import supervision
 from rhubarbspar.helpers import logs
 from rhubarbspar.peers import registry
 from rhubarbspar.peers import transport as peer_transport
@@ -37,6 +37,7 @@
 
 _SWEEP_INTERVAL_S: typing.Final = 0.25
 _SETTINGS_CHECK_INTERVAL_S: typing.Final = 1.0
+EXIT_START_FAILED: typing.Final = 1
 
 
 def clock_ms() -> float:
@@ -96,28 +97,22 @@
             reactor, self._state, self._callers.receive, self._counters, clock_ms, budget
         )
         self._last_tick_ms = clock_ms()
-        self._loops: list[task.LoopingCall] = []
+        self._supervisor = supervision.Supervisor(
+            reactor, self._driver.report_exception, self._end_start
+        )
+        self.exit_code = 0
 
     def start(self) -> None:
         """Open the listeners and start the tasks; to be called while the reactor runs."""
-        self._listeners.open(self._settings)
-        self._repeat(package_const.TICK_INTERVAL_MS / package_const.MS_PER_S, self._tick)
-        self._repeat(_SWEEP_INTERVAL_S, self._sweep)
-        self._repeat(_SETTINGS_CHECK_INTERVAL_S, self._check_settings)
-        for coroutine in (
-            self._store.watch_records(),
-            self._store.keep_registered(),
-            self._start_peer_transport(),
-        ):
-            defer.Deferred.fromCoroutine(coroutine).addErrback(self._log_failure)
-        incarnation = self._member.incarnation
-        self._driver.report(core_effects.Log('started', (('incarnation', incarnation),)))
-        self._report_defaults()
+        tick_interval_s = package_const.TICK_INTERVAL_MS / package_const.MS_PER_S
+        self._supervisor.repeat('tick', tick_interval_s, self._tick)
+        self._supervisor.repeat('sweep', _SWEEP_INTERVAL_S, self._sweep)
+        self._supervisor.repeat('settings', _SETTINGS_CHECK_INTERVAL_S, self._check_settings)
+        self._supervisor.run_start('start', self._open)
 
     def close(self) -> None:
         """End all tasks and close all ports and connections; the process continues."""
-        for loop in self._loops:
-            loop.stop()
+        self._supervisor.close()
         self._listeners.close()
         self._backends.close()
         self._store.close()
@@ -128,8 +123,10 @@
         self._driver.deliver(core_events.StopRequested())
 
     def reload(self) -> None:
-        """Read the settings again; if they are invalid, the last valid ones stay in force."""
-        self._settings_text = self._settings_path.read_bytes()
+        """Read the settings again; if they are absent or invalid, the last ones stay in force."""
+        text = self._read_settings_text()
+        if text is not None:
+            self._settings_text = text
         try:
             settings = gateway_settings.load(self._settings_path)
         except exceptions.RhubarbsparError as error:
@@ -150,6 +147,29 @@
             fields = (('names', ','.join(names)),)
             self._driver.report(core_effects.Log('bounds_defaulted', fields))
 
+    async def _open(self) -> None:
+        """Bind all ports, then start the tasks that use the store.
+
+        A port that is bound later may be taken by an outgoing connection of this process.
+        """
+        listen = functools.partial(self._listeners.open, self._settings, self._driver.forwards)
+        await self._supervisor.bind('ports', listen)
+        self._supervisor.run('watch_records', self._store.watch_records)
+        self._supervisor.run('keep_registered', self._store.keep_registered)
+        self._supervisor.run('metrics', self._open_metrics)
+        self._supervisor.run_start('peers', self._start_peer_transport)
+        incarnation = self._member.incarnation
+        self._driver.report(core_effects.Log('started', (('incarnation', incarnation),)))
+        self._report_defaults()
+
+    async def _open_metrics(self) -> None:
+        """Open the metrics port; without it, the instance serves callers all the same."""
+        if self._settings.shares_metrics_port:
+            self._driver.report(core_effects.Log('metrics_port_taken'))
+            return
+        address = self._settings.metrics_address
+        await self._supervisor.bind('metrics', lambda: self._listeners.open_metrics(address))
+
     async def _start_peer_transport(self) -> None:
         """Connect to the peers once the shared key is known."""
         key = await self._store.fleet_key()
@@ -157,12 +177,12 @@
             return
         self._backends.fleet_key = key
         self._driver.forwards.fleet_key = key
-        self._listeners.open_forwards(self._settings.forward_address, self._driver.forwards)
         transport = peer_transport.PeerTransport(
             initial_state.peer_settings(self._settings, self._member, key),
             self._driver.deliver,
             self._driver.report,
             registry.collect_message_types((messages,)),
+            self._listeners.peer_socket,
         )
         await defer.Deferred.fromFuture(asyncio.ensure_future(transport.start()))
         self._driver.transport = transport
@@ -181,34 +201,42 @@
         self._backends.close_expired()
 
     def _check_settings(self) -> None:
-        """Report dropped log lines, and reload the settings if the file has changed."""
+        """Report dropped log lines, and reload the settings if the file has changed.
+
+        While the file is absent, the settings stay in force.
+        """
         self._driver.report_dropped_lines()
-        if self._settings_path.read_bytes() != self._settings_text:
+        text = self._read_settings_text()
+        if text not in {None, self._settings_text}:
             self.reload()
 
-    def _repeat(self, interval_s: float, function: abc.Callable[[], None]) -> None:
-        loop = task.LoopingCall(function)
-        loop.clock = self._reactor
-        self._loops.append(loop)
-        loop.start(interval_s, now=False).addErrback(self._log_failure)
+    def _read_settings_text(self) -> bytes | None:
+        try:
+            return self._settings_path.read_bytes()
+        except OSError:
+            return None
 
     def _exit(self) -> None:
         # The delay lets the last responses be written before the process ends.
         self._reactor.callLater(_EXIT_DELAY_S, self._reactor.stop)
 
-    def _log_failure(self, reason: typing.Any) -> None:
-        loguru.logger.error('event=task_failed error={}', reason.getTraceback())
+    def _end_start(self, _error: Exception) -> None:
+        """End the process: it cannot serve, and the platform starts it again."""
+        self.exit_code = EXIT_START_FAILED
+        self._exit()
 
 
 _EXIT_DELAY_S: typing.Final = 0.15
 
 
 def run(settings_path: str, memory_mb: str = '') -> int:
-    """Run a gateway until its planned stop has ended; return the exit code 0.
+    """Run a gateway until its planned stop has ended; return the exit code.
+
+    It is 0, or ``EXIT_START_FAILED`` if a port could not be opened.
 
     SIGTERM and SIGINT start a planned stop, SIGHUP reloads the settings.
     """
-    settings = gateway_settings.load(settings_path)
+    settings = settings_wait.load(settings_path)
     stream = log_stream.LogStream(sys.stdout.fileno())
     logs.configure(settings.log_level, stream.write)
     loop = asyncio.new_event_loop()
@@ -220,7 +248,7 @@
     reactor.callWhenRunning(_install_signal_handlers, daemon)
     reactor.run(installSignalHandlers=False)
     stream.flush()
-    return 0
+    return daemon.exit_code
 
 
 def _install_signal_handlers(daemon: Daemon) -> None:
--- a/rhubarbspar/gateway/driver.py
+++ b/rhubarbspar/gateway/driver.py
@@ -7,6 +7,7 @@
 
 import loguru
 from twisted.internet import defer
+from twisted.python import failure
 
 from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
@@ -110,6 +111,12 @@
             case core_effects.Log():
                 self._log(effect)
 
+    def report_exception(self, name: str, subject: str, error: Exception) -> None:
+        """Log an exception with its traceback, within the rate limit of the log, and count it."""
+        self.report(core_effects.Count(package_const.METRIC_EVENTS, name))
+        if self._other_limiter.take(self._clock_ms()):
+            loguru.logger.opt(exception=error).error('event={} subject={}', name, subject)
+
     def report_dropped_lines(self) -> None:
         """Log how many lines the rate limits have dropped since the last call."""
         routine_count = self._routine_limiter.take_dropped_count()
@@ -125,7 +132,7 @@
             outputs = reducer.reduce(self.state, event, self._clock_ms())
         except Exception as error:  # noqa: BLE001
             # A fault while reducing one event must not end the process.
-            self._report_exception('reducer_failed', event, error)
+            self.report_exception('reducer_failed', type(event).__name__, error)
             self._refuse_request(event)
             return
         for effect in outputs:
@@ -133,7 +140,7 @@
                 self._carry_out(effect)
             except Exception as error:  # noqa: BLE001
                 # The other effects of the event still have to be carried out.
-                self._report_exception('effect_failed', effect, error)
+                self.report_exception('effect_failed', type(effect).__name__, error)
 
     def _refuse_request(self, event: core_events.Event) -> None:
         """Answer a request whose reduction failed before anything was sent."""
@@ -143,12 +150,6 @@
                 effects.Refuse(event.request.request_number, status, 'internal_error')
             )
 
-    def _report_exception(self, name: str, subject: object, error: Exception) -> None:
-        loguru.logger.opt(exception=error).error(
-            'event={} subject={}', name, type(subject).__name__
-        )
-        self.report(core_effects.Count(package_const.METRIC_EVENTS, name))
-
     def _log(self, effect: core_effects.Log) -> None:
         is_routine = effect.name in log_stream.ROUTINE_EVENTS
         limiter = self._routine_limiter if is_routine else self._other_limiter
@@ -200,13 +201,13 @@
     def _carry_out_other(self, effect: core_effects.Effect) -> None:
         match effect:
             case effects.WriteStatus(status):
-                _run_in_background(self._store.write_status(status))
+                self._run_in_background(self._store.write_status(status))
             case effects.FollowStore(enabled):
                 self._store.switch_following(following=enabled)
             case effects.RefreshStore():
                 self._store.reconnect()
             case effects.Leave():
-                _run_in_background(self._store.deregister())
+                self._run_in_background(self._store.deregister())
             case effects.CloseIdleCallers():
                 self._process.close_idle_callers()
             case effects.StopListening():
@@ -216,10 +217,13 @@
             case _ if self.transport is not None:
                 self.transport.apply(effect)
 
+    def _run_in_background(self, coroutine: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
+        def report(reason: failure.Failure) -> None:  # noqa: WPS430 (a callback of one call)
+            if isinstance(reason.value, Exception):
+                self.report_exception('call_failed', 'store', reason.value)
 
-def _line_limiter(lines_per_s: float) -> log_stream.LineRateLimiter:
-    return log_stream.LineRateLimiter(lines_per_s, lines_per_s)
+        defer.Deferred.fromCoroutine(coroutine).addErrback(report)
 
 
-def _run_in_background(coroutine: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
-    defer.Deferred.fromCoroutine(coroutine)
+def _line_limiter(lines_per_s: float) -> log_stream.LineRateLimiter:
+    return log_stream.LineRateLimiter(lines_per_s, lines_per_s)
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -60,7 +60,7 @@
         settings.region,
         settings.caller_address,
         settings.peer_address,
-        settings.forward_address,
+        settings.forward_address if settings.has_forward_port else '',
     )
 
 
--- a/rhubarbspar/gateway/listeners.py
+++ b/rhubarbspar/gateway/listeners.py
@@ -1,5 +1,6 @@
 """HTTP listeners of a gateway: callers, readiness checks, look-ups and metrics."""
 
+import socket
 import typing
 from collections import abc
 
@@ -60,32 +61,54 @@
         self._counters = counters
         self._clock_ms = clock_ms
         self._sites = [self.caller_site]
-        self._caller_port: typing.Any = None
-        self._ports: list[typing.Any] = []
+        # The socket on which peers connect; it is bound early and listens later.
+        self.peer_socket: socket.socket | None = None
+        self._caller_address = ''
+        self._ports: dict[str, typing.Any] = {}
 
-    def open(self, settings: gateway_settings.Settings) -> None:
-        """Open all ports."""
-        self._caller_port = self._listen(settings.caller_address, self.caller_site)
-        self._serve(settings.readiness_address, self._answer_readiness)
+    def open(
+        self, settings: gateway_settings.Settings, forwards: peer_forwards.PeerForwards
+    ) -> None:
+        """Open the ports that are not open yet, except that of the metrics.
+
+        The readiness port comes last: the platform asks there whether callers are served.
+
+        Parameters
+        ----------
+        forwards
+            Receives the attempts that peers send to be passed on.
+
+        Raises
+        ------
+        OSError, twisted.internet.error.CannotListenError
+            If a port is taken.
+        """
+        self._caller_address = settings.caller_address
+        self._listen(settings.caller_address, self.caller_site)
+        if self.peer_socket is None:
+            self.peer_socket = _bind(settings.peer_address)
+        if settings.has_forward_port:
+            forward_site = self._make_site(forwards.receive, self._forward_limits, forwards.screen)
+            self._listen(settings.forward_address, forward_site)
         self._serve(settings.directory_address, self._answer_lookup)
-        self._serve(settings.metrics_address, self._answer_metrics)
+        self._serve(settings.readiness_address, self._answer_readiness)
 
-    def open_forwards(self, address: str, forwards: peer_forwards.PeerForwards) -> None:
-        """Open the port on which peers send the attempts that this instance passes on."""
-        site = server.Site(
-            forwards.receive, self._forward_limits, self._clock_ms, self._budget, forwards.screen
-        )
-        self._sites.append(site)
-        self._listen(address, site)
+    def open_metrics(self, address: str) -> None:
+        """Open the port of the metrics; raise as ``open`` does."""
+        self._serve(address, self._answer_metrics)
 
     def stop_accepting(self) -> None:
         """Accept no more connections of callers."""
-        self._caller_port.stopListening()
+        port = self._ports.get(self._caller_address)
+        if port is not None:
+            port.stopListening()
 
     def close(self) -> None:
         """Close all ports and connections."""
-        for port in self._ports:
+        for port in self._ports.values():
             port.stopListening()
+        if self.peer_socket is not None:
+            self.peer_socket.close()
         for site in self._sites:
             site.abort()
 
@@ -141,21 +164,46 @@
 
     def _serve(self, address: str, respond: _Respond) -> None:
         """Open a port whose requests are answered at once."""
-        site = server.Site(
-            lambda exchange: exchange.respond(respond(exchange.request)),
-            lambda: _INTERNAL_LIMITS,
-            self._clock_ms,
-            self._budget,
+        self._listen(
+            address,
+            self._make_site(
+                lambda exchange: exchange.respond(respond(exchange.request)),
+                lambda: _INTERNAL_LIMITS,
+            ),
         )
-        self._sites.append(site)
-        self._listen(address, site)
 
-    def _listen(self, address: str, site: server.Site) -> typing.Any:
+    def _make_site(
+        self,
+        handle: abc.Callable[[server.Exchange], None],
+        limits: abc.Callable[[], server.Limits],
+        screen: server.Screen | None = None,
+    ) -> server.Site:
+        return server.Site(handle, limits, self._clock_ms, self._budget, screen)
+
+    def _listen(self, address: str, site: server.Site) -> None:
+        """Open a port, unless it is open already."""
+        if address in self._ports:
+            return
         host, port = addresses.split_host_port(address)
         listen = self._reactor.listenTCP
-        listening_port = listen(port, site, backlog=BACKLOG, interface=host)
-        self._ports.append(listening_port)
-        return listening_port
+        self._ports[address] = listen(port, site, backlog=BACKLOG, interface=host)
+        if site is not self.caller_site:
+            self._sites.append(site)
+
+
+def _bind(address: str) -> socket.socket:
+    """Return a socket that is bound to an address."""
+    host, port = addresses.split_host_port(address)
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        bound.bind((host, port))
+    except OSError:
+        bound.close()
+        raise
+    bound.setblocking(False)  # noqa: FBT003 (signature of the library)
+    return bound
 
 
 _INTERNAL_LIMITS: typing.Final = server.Limits(
--- a/rhubarbspar/gateway/settings.py
+++ b/rhubarbspar/gateway/settings.py
@@ -89,6 +89,22 @@
     defaulted_bounds: tuple[str, ...] = ()
     log_level: str = DEFAULT_LOG_LEVEL
 
+    @property
+    def has_forward_port(self) -> bool:
+        """Return whether the platform leaves a port of its own for forwards."""
+        return self.forward_address != self.peer_address
+
+    @property
+    def shares_metrics_port(self) -> bool:
+        """Return whether another address has the port of the metrics, which is fixed."""
+        return self.metrics_address in {
+            self.caller_address,
+            self.directory_address,
+            self.forward_address,
+            self.peer_address,
+            self.readiness_address,
+        }
+
 
 def load(path: str | pathlib.Path) -> Settings:
     """Read a settings file.
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -20,6 +20,9 @@
 from rhubarbspar.http1 import writing
 
 
+Screen: typing.TypeAlias = abc.Callable[[messages.Request], messages.Response | None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
     """Upper bounds of the sizes of a request and of the times that a client may take."""
@@ -91,7 +94,7 @@
         limits: abc.Callable[[], Limits],
         clock_ms: abc.Callable[[], float],
         budget: memory.MemoryBudget | None = None,
-        screen: abc.Callable[[messages.Request], messages.Response | None] | None = None,
+        screen: Screen | None = None,
     ) -> None:
         """Create a site without connections."""
         self.handle = handle
--- a/rhubarbspar/peers/transport.py
+++ b/rhubarbspar/peers/transport.py
@@ -5,6 +5,7 @@
 import dataclasses
 import ipaddress
 import logging
+import socket
 import types
 import typing
 from collections import abc
@@ -66,6 +67,8 @@
         Receives the ``Count`` and ``Log`` effects of the transport itself.
     message_types
         Message classes by type name; those of the entry instances if omitted.
+    bound_socket
+        Socket on which peers connect; by default one is bound to the listening address.
     """
 
     def __init__(
@@ -74,8 +77,10 @@
         deliver: abc.Callable[[events.Event], None],
         report: abc.Callable[[effects.Effect], None],
         message_types: registry.MessageTypes | None = None,
+        bound_socket: socket.socket | None = None,
     ) -> None:
         self._settings = settings
+        self._bound_socket = bound_socket
         self._deliver = deliver
         self._report = report
         self._codec = codec.Codec(message_types)
@@ -91,6 +96,9 @@
 
     async def start(self) -> None:
         """Start listening for incoming connections."""
+        if self._bound_socket is not None:
+            self._server = await server.serve(self._accept, sock=self._bound_socket, **_OPTIONS)
+            return
         self._server = await server.serve(
             self._accept,
             self._settings.host,
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -49,6 +49,12 @@
         return f'{host}:{probe.getsockname()[1]}'
 
 
+def hold(address):
+    """Return a listening socket that takes an address."""
+    host, _, port = address.rpartition(':')
+    return socket.create_server((host, int(port)))
+
+
 class Gateway:
     """A gateway on loopback ports; its parts use a reactor of the test's choice.
 
@@ -56,19 +62,25 @@
     ----------
     addresses
         Addresses of the gateway, by name.
+    settings_path
+        Its settings.
+    taken
+        Sockets that hold ports of the gateway.
     daemon
         The gateway itself.
     """
 
-    def __init__(self, instance_id, store_address, reactor, folder):
-        """Start the gateway."""
+    def __init__(self, instance_id, store_address, reactor, folder, taken=()):
+        """Start the gateway; another process holds the ports named in ``taken``."""
         self._host = own_host()
         self.addresses = {
             name: free_address(self._host) for name in ('front', 'ready', 'directory')
         }
-        path = folder / f'{instance_id}.jsonc'
-        path.write_text(self._settings(instance_id, store_address))
-        self.daemon = gateway_daemon.Daemon(str(path), settings.load(path), reactor)
+        self.settings_path = folder / f'{instance_id}.jsonc'
+        self.settings_path.write_text(self._settings(instance_id, store_address))
+        loaded = settings.load(self.settings_path)
+        self.taken = [hold(getattr(loaded, name)) for name in taken]
+        self.daemon = gateway_daemon.Daemon(str(self.settings_path), loaded, reactor)
         self.daemon.start()
 
     def _settings(self, instance_id, store_address):
@@ -113,18 +125,18 @@
         self.initial_records = self.store.copy()
         self._folder = tmp_path
         self._gateways = []
-        first = self.add_gateway('front-1', loop.reactor)
-        self.addresses = first.addresses
-        self.gateway = first.daemon
+        self.first = self.add_gateway('front-1', loop.reactor)
+        self.addresses = self.first.addresses
+        self.gateway = self.first.daemon
 
     @property
     def server_port(self):
         """Return the port of the backend server."""
         return self._port.getHost().port
 
-    def add_gateway(self, instance_id, reactor):
-        """Start a gateway and return it."""
-        added = Gateway(instance_id, self.store.address, reactor, self._folder)
+    def add_gateway(self, instance_id, reactor, taken=()):
+        """Start a gateway and return it; ``taken`` names ports that another process holds."""
+        added = Gateway(instance_id, self.store.address, reactor, self._folder, taken)
         self._gateways.append(added)
         return added
 
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -135,3 +135,54 @@
         assert (refused.status, len(deployment.received)) == (503, 1)
 
     deployment.loop.run(scenario())
+
+
+TAKEN = ('caller_address', 'peer_address', 'forward_address', 'readiness_address')
+
+
+@pytest.mark.parametrize('taken', TAKEN)
+def test_port_that_is_taken_at_the_start_is_opened_later(deployment, taken):
+    """Guards against a process that stays up without one of its ports, and is never ready."""
+
+    async def scenario():
+        late = deployment.add_gateway('front-2', deployment.loop.reactor, (taken,))
+        state = late.daemon._state
+        await deployment.loop.wait(0.4)
+        assert not late.daemon._driver.transport
+        late.taken[0].close()
+        await deployment.loop.until(lambda: late.daemon._driver.transport and state.is_ready)
+        response = await deployment.call_address(late.addresses['ready'], b'/readiness')
+        assert response.status == 200
+        assert (await deployment.call_address(late.addresses['front'], b'/stock/7')).status == 200
+
+    deployment.loop.run(scenario())
+
+
+def test_taken_metrics_port_does_not_keep_an_instance_from_serving(deployment):
+    """Guards against a fixed port that another address of the day has drawn."""
+
+    async def scenario():
+        late = deployment.add_gateway('front-2', deployment.loop.reactor, ('metrics_address',))
+        await deployment.loop.until(lambda: late.daemon._driver.transport)
+        assert (await deployment.call_address(late.addresses['front'], b'/stock/7')).status == 200
+        late.taken[0].close()
+
+    deployment.loop.run(scenario())
+
+
+def test_settings_that_are_away_for_a_while_are_followed_again(deployment):
+    """Guards against changes of the settings that no instance sees after the file was away."""
+
+    async def scenario():
+        await deployment.until_ready()
+        path = deployment.first.settings_path
+        text = path.read_text()
+        path.unlink()
+        deployment.gateway._check_settings()
+        deployment.gateway.reload()
+        assert deployment.gateway._state.bounds.stop_grace_ms == 5000
+        path.write_text(text.replace('"grace": "5s"', '"grace": "7s"'))
+        deployment.gateway._check_settings()
+        assert deployment.gateway._state.bounds.stop_grace_ms == 7000
+
+    deployment.loop.run(scenario())
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -124,3 +124,12 @@
         text.replace('"platform_bounds"', '"bounds": {"stop_grace": "3s"},\n"platform_bounds"')
     )
     assert settings.load(settings_path).bounds.stop_grace == 3000
+
+
+def test_address_that_two_purposes_share_is_noticed(load):
+    """Guards against drawn ports that are equal, so that one of them can never be opened."""
+    loaded = load({**VALUES, 'internalPorts.1': VALUES['internalPorts.0']})
+    assert not loaded.has_forward_port
+    assert load(VALUES).has_forward_port
+    assert load({**VALUES, 'internalPorts.0': '9464'}).shares_metrics_port
+    assert not load(VALUES).shares_metrics_port
