Hand the socket for peers over to the transport

Cause: the listeners closed the socket on which the transport of the peers listens, so that the event loop went on with a descriptor that other sockets reused; only an in-process shutdown, as in tests, does that.

Result: tests/gateway/test_server_links.py failed in one process with two deployments one after the other (30 s without a connection between peers), and passes now.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -182,7 +182,7 @@
             self._driver.deliver,
             self._driver.report,
             registry.collect_message_types((messages,)),
-            self._listeners.peer_socket,
+            self._listeners.release_peer_socket(),
         )
         await defer.Deferred.fromFuture(asyncio.ensure_future(transport.start()))
         self._driver.transport = transport
--- a/rhubarbspar/gateway/listeners.py
+++ b/rhubarbspar/gateway/listeners.py
@@ -61,8 +61,7 @@
         self._counters = counters
         self._clock_ms = clock_ms
         self._sites = [self.caller_site]
-        # The socket on which peers connect; it is bound early and listens later.
-        self.peer_socket: socket.socket | None = None
+        self._peer_socket: socket.socket | None = None
         self._caller_address = ''
         self._ports: dict[str, typing.Any] = {}
 
@@ -85,14 +84,20 @@
         """
         self._caller_address = settings.caller_address
         self._listen(settings.caller_address, self.caller_site)
-        if self.peer_socket is None:
-            self.peer_socket = _bind(settings.peer_address)
+        if self._peer_socket is None:
+            self._peer_socket = _bind(settings.peer_address)
         if settings.has_forward_port:
             forward_site = self._make_site(forwards.receive, self._forward_limits, forwards.screen)
             self._listen(settings.forward_address, forward_site)
         self._serve(settings.directory_address, self._answer_lookup)
         self._serve(settings.readiness_address, self._answer_readiness)
 
+    def release_peer_socket(self) -> socket.socket | None:
+        """Hand over the socket on which peers connect; it is bound and does not listen yet."""
+        released = self._peer_socket
+        self._peer_socket = None
+        return released
+
     def open_metrics(self, address: str) -> None:
         """Open the port of the metrics; raise as ``open`` does."""
         self._serve(address, self._answer_metrics)
@@ -107,8 +112,8 @@
         """Close all ports and connections."""
         for port in self._ports.values():
             port.stopListening()
-        if self.peer_socket is not None:
-            self.peer_socket.close()
+        if self._peer_socket is not None:
+            self._peer_socket.close()
         for site in self._sites:
             site.abort()
 
