Install the reactor of the tests before a looping call does

Cause: a LoopingCall imports the reactor, so that a worker which ran the tests of the supervisor first had no asyncio reactor for the tests after them: eight errors of tests/operators/test_etcd.py in one of the full runs.

Result: both files pass one after the other in one process.

--- a/tests/gateway/test_supervision.py
+++ b/tests/gateway/test_supervision.py
@@ -25,8 +25,9 @@
 
 
 @pytest.fixture
-def supervised():
-    """Return a supervisor."""
+def supervised(loop):
+    """Return a supervisor; a looping call installs a reactor unless there is one."""
+    assert loop.reactor
     return Supervised()
 
 
