Divide the limits of the fleet by what is known of its size

Operators saw repeats pile up on a fleet of 69.

Cause: the allowance of the retry budget, that of a bad version and the least share of an account's burst were divided by the instances that this one knew, which after a start are none.

Change: one typed answer, the instances known lately and whether the number is known at all. Where a share is less than one retry, some instances get a whole one.

The gateway of the unit tests stands for one that has been running, so it counts as settled; the simulated fleets start unsettled as before.

--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -10,6 +10,7 @@
 import typing
 
 from rhubarbspar.gateway import const
+from rhubarbspar.gateway import fleet_size
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.helpers import rendezvous
@@ -202,6 +203,8 @@
         a check.
     last_broadcast_ms
         When the last heartbeats were sent.
+    sizes
+        How many instances there were lately.
     connected_ids
         Ids of the connected peers, including those whose registration is not known yet.
     ranks
@@ -217,6 +220,7 @@
     region_has_follower_ms: float = -math.inf
     last_check_ms: float = -math.inf
     last_broadcast_ms: float = -math.inf
+    sizes: fleet_size.SizeHistory = dataclasses.field(default_factory=fleet_size.SizeHistory)
     connected_ids: set[str] = dataclasses.field(default_factory=set)
     ranks: dict[str, list[str]] = dataclasses.field(default_factory=dict)
     holder_orders: dict[HolderOrderKey, tuple[str, ...]] = dataclasses.field(default_factory=dict)
@@ -262,13 +266,13 @@
         """Return the live peers."""
         return [peer for peer in self.peers.values() if peer.is_live(now_ms)]
 
-    @property
-    def registered_count(self) -> int:
-        """Return the number of registered instances, this one included.
+    def size(self, now_ms: float) -> fleet_size.FleetSize:
+        """Return the number of instances among which a limit of the fleet is divided.
 
-        A budget that all instances share is divided by it: silent instances may still spend theirs.
+        Silent instances count: they may still use their shares.
         """
-        return 1 + len(self.peers)
+        self.sizes.record(1 + len(self.peers), now_ms)
+        return self.sizes.size(now_ms)
 
     def live_count(self, now_ms: float) -> int:
         """Return the number of live instances, this one included."""
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -159,7 +159,11 @@
     """Update the tree, the connections, the known sums and the duty to watch the store."""
     outputs = _update_relay(state, now_ms)
     state.quotas.expire_peers(now_ms)
-    state.rollouts.heard_share = state.fleet.live_count(now_ms) / state.fleet.registered_count
+    if state.replica.revision:
+        state.fleet.sizes.note_read(now_ms)
+    size = state.fleet.size(now_ms)
+    state.rollouts.heard_share = size.share(state.fleet.live_count(now_ms))
+    state.quotas.divide_among(size)
     version_exchange.retire_silent(state, now_ms)
     if not state.fleet.is_mesh:
         _forget_replaced_sums(state, now_ms)
@@ -223,10 +227,7 @@
     if peer.relation == fleet.Relation.PARENT and not heartbeat.sums_id:
         # The relay has not noticed yet that this instance reports to it.
         return []
-    fleet_size = 0 if state.fleet.is_mesh else state.fleet.live_count(now_ms)
-    state.quotas.apply_heartbeat(
-        peer_id, heartbeat, now_ms, is_child=is_child, fleet_size=fleet_size
-    )
+    state.quotas.apply_heartbeat(peer_id, heartbeat, now_ms, is_child=is_child)
     if peer.relation == fleet.Relation.PARENT:
         state.quotas.forget_peers_except({peer_id}, now_ms)
     elif not state.fleet.is_mesh:
--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -16,6 +16,7 @@
 
 from rhubarbspar import const as package_const
 from rhubarbspar.gateway import buckets
+from rhubarbspar.gateway import fleet_size
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 
@@ -122,6 +123,13 @@
     is_urgent: bool = False
     guaranteed_share: float = GUARANTEED_SHARE_MAX
 
+    def divide_among(self, size: fleet_size.FleetSize) -> None:
+        """Set the least share of each burst by the number of instances.
+
+        While the number is unknown, there is no such share: all instances may have just started.
+        """
+        self.guaranteed_share = min(GUARANTEED_SHARE_MAX, size.share(GUARANTEED_EQUAL_PARTS))
+
     def admit(self, account: models.ClientAccount, now_ms: float) -> float | None:
         """Take a token for a request of an account.
 
@@ -216,7 +224,6 @@
         now_ms: float,
         *,
         is_child: bool = False,
-        fleet_size: int = 0,
     ) -> None:
         """Correct the buckets by what a peer reports.
 
@@ -226,15 +233,10 @@
         ----------
         is_child
             Whether the peer reports to this instance.
-        fleet_size
-            Number of instances; 0 if the peers are all there are.
         """
         series = (heartbeat.incarnation, heartbeat.sums_id)
         peer = self._refresh_peer(peer_id, series, now_ms, is_child=is_child)
         peer.is_partial = heartbeat.is_partial
-        self.guaranteed_share = min(
-            GUARANTEED_SHARE_MAX, GUARANTEED_EQUAL_PARTS / (fleet_size or 1 + len(self.peers))
-        )
         reported_ids = {use.account_id for use in heartbeat.accounts}
         for account_id, last_use in peer.uses.items():
             if account_id not in reported_ids and last_use.demand_per_s:
--- a/rhubarbspar/gateway/retries.py
+++ b/rhubarbspar/gateway/retries.py
@@ -57,7 +57,9 @@
     if result in _NOT_SENT:
         # The retry costs no retry budget.
         return True
-    return state.budget.try_acquire(pending.service_id, state.fleet.registered_count, now_ms)
+    size = state.fleet.size(now_ms)
+    own_id = state.fleet.own_member.instance_id
+    return state.budget.try_acquire(pending.service_id, own_id, size, now_ms)
 
 
 def is_stalled(
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -11,6 +11,7 @@
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import fleet
+from rhubarbspar.gateway import fleet_size
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import reducer
 from rhubarbspar.gateway import selection
@@ -30,7 +31,7 @@
     """The state and reducer of a gateway, with a clock that the test advances."""
 
     def __init__(self) -> None:
-        """Create an instance without any records."""
+        """Create an instance without any records, which has been running for a while."""
         self.now_ms = 1_000_000.0
         self.revision = 0
         self.records: dict[bytes, gateway_state.Record] = {}
@@ -42,6 +43,7 @@
             budget=budget.RetryBudget(budget.BudgetLimits(0.2, 56, 10_000)),
             network=selection.NetworkTopology('almaty-a', 'almaty', REGIONS),
         )
+        self.state.fleet.sizes.note_read(self.now_ms - fleet_size.SETTLE_MS)
         self._last_number = 0
 
     def reduce(self, event: core_events.Event) -> list[core_effects.Effect]:
--- /dev/null
+++ b/tests/gateway/test_fleet_size.py
@@ -0,0 +1,106 @@
+"""Number of instances among which the limits of the fleet are divided."""
+
+import pytest
+
+from rhubarbspar.gateway import budget
+from rhubarbspar.gateway import effects
+from rhubarbspar.gateway import events
+from rhubarbspar.gateway import fleet_size
+from rhubarbspar.gateway import models
+from tests.gateway import conftest
+
+INSTANCES = 69
+ALLOWANCE = 56
+LIMITS = budget.BudgetLimits(0.2, ALLOWANCE, 10_000)
+REQUESTS = 10
+# Requests permitted as retries: the ratio of those of each instance, and the allowance.
+RETRIES_MAX = 0.2 * INSTANCES * REQUESTS + ALLOWANCE
+
+
+def make_instance(number, known_count, *, settled):
+    """Return an instance with two servers that knows some of the fleet."""
+    gateway = conftest.Gateway()
+    gateway.state.budget = budget.RetryBudget(LIMITS)
+    gateway.state.fleet.own_member = models.Member(
+        f'front-{number}', 'i', 'almaty-a', 'almaty', '', ''
+    )
+    gateway.state.fleet.sizes = fleet_size.SizeHistory()
+    gateway.configure(conftest.READS)
+    for server_id in ('stock-1', 'stock-2'):
+        gateway.add_server(server_id)
+    for other in range(known_count):
+        if other != number:
+            member = models.Member(f'front-{other}', 'i', 'almaty-a', 'almaty', '', '')
+            gateway.declare(f'members/front-{other}', member)
+    gateway.advance(250)
+    if settled:
+        gateway.advance(fleet_size.SETTLE_MS)
+    return gateway
+
+
+def count_retries(gateway, requests):
+    """Send requests that no server runs; return how often they were sent again."""
+    retries = 0
+    for _ in range(requests):
+        started = conftest.single_effect(gateway.request(), effects.StartAttempt)
+        while started is not None:
+            not_run = conftest.ended(started, events.AttemptResult.NOT_RUN, status=503)
+            outputs = gateway.reduce(not_run)
+            again = [output for output in outputs if isinstance(output, effects.StartAttempt)]
+            started = again[0] if again else None
+            retries += len(again)
+        for view in gateway.state.servers.views.values():
+            view.turned_away_until_ms = 0
+    return retries
+
+
+@pytest.mark.parametrize(('known_count', 'settled'), [(1, False), (INSTANCES, True)])
+def test_retries_of_a_large_fleet_keep_to_the_budget(known_count, settled):
+    """Guards against instances that each use the allowance of the whole fleet.
+
+    They have just started and know no other, or know all.
+    """
+    instances = [make_instance(number, known_count, settled=settled) for number in range(INSTANCES)]
+    retries = sum(count_retries(instance, REQUESTS) for instance in instances)
+    assert retries <= RETRIES_MAX
+    assert retries
+
+
+def test_some_instances_may_retry_in_a_quiet_service():
+    """Guards against a large fleet in which nobody has a whole retry."""
+    owner_ids = [f'front-{number}' for number in range(INSTANCES)]
+    size = fleet_size.FleetSize(INSTANCES, is_known=True)
+    for window in range(20):
+        now_ms = window * LIMITS.window_ms
+        budgets = [budget.RetryBudget(LIMITS) for _ in owner_ids]
+        permitted = sum(
+            each.try_acquire('stock', owner_id, size, now_ms)
+            for each, owner_id in zip(budgets, owner_ids, strict=True)
+        )
+        # Two windows may lie within one of the operators.
+        assert 0 < permitted <= ALLOWANCE / 2
+
+
+def test_lapsed_registrations_do_not_enlarge_the_shares(gateway):
+    """Guards against an instance that takes the shares of others which serve while cut off."""
+    for number in range(2, 9):
+        member = models.Member(f'front-{number}', 'i', 'almaty-a', 'almaty', '', '')
+        gateway.declare(f'members/front-{number}', member)
+    gateway.advance(20_000)
+    for number in range(2, 9):
+        gateway.declare(f'members/front-{number}', None)
+    gateway.advance(20_000)
+    assert not gateway.state.fleet.peers
+    assert gateway.state.fleet.size(gateway.now_ms).instances == 8
+    later_ms = gateway.now_ms + 3 * fleet_size.SHRINK_MS
+    gateway.state.fleet.size(later_ms - fleet_size.SHRINK_MS * 1.5)
+    assert gateway.state.fleet.size(later_ms).instances == 1
+
+
+@pytest.mark.parametrize('settled', [True, False])
+def test_least_share_of_a_burst_is_divided_among_all_instances(settled):
+    """Guards against a fleet that has just started and admits many times the burst."""
+    gateway = make_instance(0, INSTANCES, settled=settled)
+    share = gateway.state.quotas.guaranteed_share
+    assert share * INSTANCES <= 1.5 + 1e-9
+    assert (share > 0) == settled
