Strike settings, ports and responses without end in the soak

Change: settings that are away or cut in half, a taken port at a restart, heads and bodies without end, and two callers that pipeline. They are drawn after the faults of before, so that seeds keep those.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -2,6 +2,8 @@
 
 import json
 
+from twisted.internet import task
+
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import server
 from tests.soak import models
@@ -11,6 +13,7 @@
 QUEUE = 12
 WORK_S = 0.03
 SLOW_S = 0.6
+ENDLESS_INTERVAL_S = 0.002
 _LIMITS = server.Limits(16_384, 1_048_576, 3000, 15_000)
 
 
@@ -37,6 +40,7 @@
         self._incarnation += 1
         self.server_id = f'{self._service_id}-{self._number}-{self._incarnation}'
         self.hangs = False
+        self.endless = ''
         self.work_s = WORK_S
         self._running = 0
         self._sequence = 0
@@ -96,10 +100,22 @@
                 messages.find_header(headers, b'authorization') is not None,
             )
         )
+        if self.endless:
+            self._write_without_end(exchange, attempt_id)
+            return
         self._running += 1
         if not self.hangs:
             self._reactor.callLater(self.work_s, self._respond, exchange, attempt_id)
 
+    def _write_without_end(self, exchange, attempt_id):
+        """Send a head or a body until the caller closes the connection."""
+        transport = exchange._channel.transport
+        head = f'HTTP/1.1 200 OK\r\nx-rhubarbspar-attempt-id: {attempt_id}\r\n'
+        transport.write(head.encode() + (b'\r\n' if self.endless == 'endless_body' else b''))
+        loop = task.LoopingCall(transport.write, b'x: ' + b'y' * 40_000 + b'\r\n')
+        exchange.on_abandoned = loop.stop
+        loop.start(ENDLESS_INTERVAL_S)
+
     def _respond(self, exchange, attempt_id):
         self._running -= 1
         headers = (
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -15,10 +15,12 @@
 from tests.soak import faults
 from tests.soak import instances
 from tests.soak import models
+from tests.soak import pipelining
 
 INSTANCES = 6
 SERVERS_PER_SERVICE = 4
 CALLERS = 10
+PIPELINING_CALLERS = 2
 KEYS = ('key-1', 'key-2', 'key-3')
 START_S = 12.0
 
@@ -134,7 +136,7 @@
         until_s = faults_end_s + models.GRACE_S + faults.RECOVERY_S
         running = [
             defer.Deferred.fromCoroutine(self._caller(number).run(until_s))
-            for number in range(CALLERS)
+            for number in range(CALLERS + PIPELINING_CALLERS)
         ]
         await defer.gatherResults(running)
         return checks.violations(self.ledger, until_s)
@@ -147,7 +149,8 @@
         await defer.DeferredList([each for each in pending if each is not None])
 
     def _caller(self, number):
-        return callers.Caller(
+        kind = callers.Caller if number < CALLERS else pipelining.PipeliningCaller
+        return kind(
             self._reactor,
             self.fleet,
             self.ledger,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,26 +18,46 @@
     models.Target.STORE: ('compact', 'lose_answers', 'refuse', 'silent'),
     models.Target.STORE_LINK: ('delayed', 'drops_answers', 'drops_requests', 'reset', 'silent'),
 }
-PLANNED = frozenset(('add_route', 'drain', 'reload', 'revoke', 'stop', 'stop_in_turn', 'storm'))
+# Drawn apart from the others, so that a seed keeps the faults that it had before these were added.
+_LATER_ACTIONS = {
+    models.Target.BACKEND: ('endless_body', 'endless_head'),
+    models.Target.PROCESS: ('port_taken',),
+    models.Target.SETTINGS: ('away', 'half', 'reload_while_away'),
+}
+PLANNED = frozenset(
+    (
+        'add_route',
+        'away',
+        'drain',
+        'half',
+        'reload',
+        'reload_while_away',
+        'revoke',
+        'stop',
+        'stop_in_turn',
+        'storm',
+    )
+)
 
 
 def draw(rng):
     """Return the faults of a run, in the order of their times."""
-    drawn = []
-    for _ in range(rng.randint(3, 8)):
-        target = rng.choice(sorted(_ACTIONS))
-        drawn.append(
-            models.Fault(
-                at_s=BEGIN_S + rng.uniform(0, SPAN_S),
-                duration_s=rng.uniform(0.3, 4.0),
-                target=target,
-                action=rng.choice(_ACTIONS[target]),
-                subject=rng.randrange(1000),
-            )
-        )
+    drawn = [_draw_one(rng, _ACTIONS) for _ in range(rng.randint(3, 8))]
+    drawn.extend(_draw_one(rng, _LATER_ACTIONS) for _ in range(rng.randint(0, 3)))
     return sorted(drawn, key=lambda fault: fault.at_s)
 
 
+def _draw_one(rng, actions):
+    target = rng.choice(sorted(actions))
+    return models.Fault(
+        at_s=BEGIN_S + rng.uniform(0, SPAN_S),
+        duration_s=rng.uniform(0.3, 4.0),
+        target=target,
+        action=rng.choice(actions[target]),
+        subject=rng.randrange(1000),
+    )
+
+
 class Injector:
     """Carries faults out on a deployment."""
 
@@ -69,6 +89,9 @@
                 self._reactor.callLater(left_s, backend.crash)
                 self._reactor.callLater(left_s + 0.5, backend.start)
                 return None
+            case 'endless_body' | 'endless_head':
+                backend.endless = fault.action
+                return lambda: setattr(backend, 'endless', '')
             case 'hang':
                 backend.hangs = True
                 return lambda: setattr(backend, 'hangs', False)
@@ -108,6 +131,8 @@
             case 'pause':
                 member.pause()
                 return member.resume
+            case 'port_taken':
+                return member.kill_and_take_port()
             case 'reload':
                 member.reload()
             case 'stop':
@@ -117,6 +142,13 @@
                     self._reactor.callLater(1.2 * order, each.stop)
         return None
 
+    def _settings(self, fault):
+        member = _pick(self._deployment.fleet.members, fault)
+        restore = member.damage_settings(keep_half=fault.action == 'half')
+        if fault.action == 'reload_while_away':
+            member.reload()
+        return restore
+
     def _store(self, fault):
         store = self._deployment.store
         match fault.action:
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -83,6 +83,22 @@
         """Tell the process that its settings have changed."""
         self._signal(signal.SIGHUP)
 
+    def damage_settings(self, *, keep_half):
+        """Remove the settings, or cut them in half; return a function that restores them."""
+        text = json.dumps(self._document())
+        if keep_half:
+            self._settings.write_text(text[: len(text) // 2])
+        else:
+            self._settings.unlink(missing_ok=True)
+        return lambda: self._settings.write_text(text)
+
+    def kill_and_take_port(self):
+        """Kill the process and hold its port; return a function that frees the port."""
+        self.kill()
+        self._process.wait()
+        held = socket.create_server((HOST, self.ports['caller']))
+        return held.close
+
     def close(self):
         """End the process and the links."""
         self._closing = True
--- a/tests/soak/models.py
+++ b/tests/soak/models.py
@@ -17,6 +17,7 @@
     CONFIGURATION = 'configuration'
     PEER_LINK = 'peer_link'
     PROCESS = 'process'
+    SETTINGS = 'settings'
     STORE = 'store'
     STORE_LINK = 'store_link'
 
