Refuse a malformed request once behind pending ones

Cause: since a connection that is to close answers what it has read, bytes behind a malformed request were parsed again while earlier requests were pending, and each chunk added a refusal.

Change: a refused connection reads no more.

Result: test_malformed_request_is_refused_once_behind_pending_ones fails before (three refusals) and passes now.

--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -187,7 +187,7 @@
 
     def dataReceived(self, chunk: bytes) -> None:  # noqa: N802
         """Parse received bytes and refuse a malformed or oversized request."""
-        if self.closing:
+        if self.closing or self._reading.is_ending:
             return
         self._last_active_ms = self._site.clock_ms()
         try:
@@ -306,6 +306,7 @@
         """Queue an error response after the pending ones and close the connection."""
         self._parser.stop()
         self._reading.waiting_since_ms = math.inf
+        self._reading.is_ending = True
         share = memory.Share(self._site.budget)
         exchange = Exchange(self, messages.Request(b'', b'', ()), share, keep_alive=False)
         self._pending.append(exchange)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -118,6 +118,17 @@
     assert not served.exchanges
 
 
+def test_malformed_request_is_refused_once_behind_pending_ones(served):
+    """Guards against further responses that a client takes for those of other requests."""
+    served.receive(GET % 1)
+    for _ in range(3):
+        served.receive(b'no request\r\n\r\n')
+    served.exchanges[0].respond(OK)
+    assert served.sent.count(b'HTTP/1.1 200') == 1
+    assert served.sent.count(b'HTTP/1.1 400') == 1
+    assert served.transport.write_closed
+
+
 def test_slow_head_is_timed_out(served):
     """Guards against a connection that an incomplete request head keeps open."""
     served.receive(b'GET / HT')
