Complete the response to a HEAD request with its head

Callers saw: a HEAD request that waited until its timeout.

Cause: the parser of responses is not told the method and expects the body that Content-Length announces.

Change: the response to HEAD is complete with its head.

Result: two of the three cases of test_response_to_head_has_no_body fail before and pass now.

--- a/rhubarbspar/http1/client.py
+++ b/rhubarbspar/http1/client.py
@@ -207,7 +207,11 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(errors.MalformedError(str(error)))
             return
-        if self._call is not None:
+        if self._call is None:
+            return
+        if self._partial.is_head_only:
+            self._complete()
+        else:
             self._check_size()
 
     def connectionLost(  # noqa: N802
@@ -238,7 +242,9 @@
         partial.status = self._parser.get_status_code()
         has_framing = any(name in _FRAMING_HEADERS for name, _ in partial.headers)
         has_no_body = partial.status in {const.STATUS_NO_CONTENT, const.STATUS_NOT_MODIFIED}
-        partial.ends_with_connection = not (has_framing or has_no_body)
+        is_to_head = self._call is not None and self._call.request.method == b'HEAD'
+        partial.is_head_only = is_to_head and partial.status >= const.STATUS_OK
+        partial.ends_with_connection = not (has_framing or has_no_body or is_to_head)
         partial.announced_bytes = messages.content_length(partial.headers)
 
     def on_body(self, part: bytes) -> None:
@@ -355,12 +361,15 @@
     ----------
     announced_bytes
         Size of the body according to the head.
+    is_head_only
+        Whether the head is complete and no body follows, because the request was HEAD.
     unframed_bytes
         Bytes received since the last part of the body: head, trailers, chunk extensions.
     """
 
     status: int = 0
     announced_bytes: int | None = None
+    is_head_only: bool = False
     unframed_bytes: int = 0
     ends_with_connection: bool = False
     headers: list[messages.Header] = dataclasses.field(default_factory=list)
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -255,3 +255,15 @@
     assert opened.outcomes[0].body == b'hi'
     assert connection.transport.aborted
     assert not opened.budget.held_bytes
+
+
+@pytest.mark.parametrize('framing', [b'Content-Length: 99\r\n', b'', b'Content-Length: 0\r\n'])
+def test_response_to_head_has_no_body(opened, framing):
+    """Guards against a HEAD request that waits for a body until its timeout."""
+    opened.start(request=messages.Request(b'HEAD', b'/', ()))
+    opened.connections[0].dataReceived(STATUS_LINE + framing + b'\r\n')
+    (response,) = opened.outcomes
+    assert (response.status, response.body) == (200, b'')
+    opened.start()
+    opened.connections[-1].dataReceived(STATUS_LINE + b'Content-Length: 2\r\n\r\nhi')
+    assert opened.outcomes[1].body == b'hi'
