Log refusals of the connection layer and why attempts failed

Cause: a request that was refused before it was complete left no line and no count, and attempt_failed did not say whether a connection was reset, ended or carried bytes that are no response.

Change: connection_refused with the memory that is held and its limit, a counter by status, and the field detail of attempt_failed.

--- a/rhubarbspar/const.py
+++ b/rhubarbspar/const.py
@@ -13,6 +13,7 @@
 MS_PER_S: typing.Final = 1000
 TICK_INTERVAL_MS: typing.Final = 50
 
+METRIC_CONNECTION_REFUSALS: typing.Final = 'connection_refusals'
 METRIC_REFUSALS: typing.Final = 'refusals'
 METRIC_RETRIES: typing.Final = 'retries'
 METRIC_EVENTS: typing.Final = 'events'
--- a/rhubarbspar/gateway/backend_client.py
+++ b/rhubarbspar/gateway/backend_client.py
@@ -189,7 +189,9 @@
             result = events.AttemptResult.MALFORMED
         case _:
             result = events.AttemptResult.BROKEN
-    return events.AttemptEnded(attempt_number, result, reused_connection=call.reused)
+    return events.AttemptEnded(
+        attempt_number, result, reused_connection=call.reused, detail=str(outcome)
+    )
 
 
 def _forwarded_ended_event(
--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -68,7 +68,7 @@
         memory_mb: str = '',
     ) -> None:
         """Create all parts without opening a socket."""
-        budget = initial_state.make_budget(memory_mb)
+        self._budget = initial_state.make_budget(memory_mb)
         self._settings_path = pathlib.Path(settings_path)
         self._settings = settings
         self._settings_text = self._settings_path.read_bytes()
@@ -84,7 +84,7 @@
         self._driver = effect_driver.Driver(self._state, clock_ms, self._counters, process)
         deliver = self._driver.deliver
         self._callers = caller_requests.CallerRequests(deliver)
-        self._backends = backend_client.BackendClient(reactor, deliver, clock_ms, budget)
+        self._backends = backend_client.BackendClient(reactor, deliver, clock_ms, self._budget)
         self._store = store_tasks.StoreTasks(
             reactor,
             store.Store(reactor, settings.store_address, clock_ms),
@@ -94,8 +94,9 @@
         )
         self._driver.connect(self._callers, self._backends, self._store)
         self._listeners = listeners.Listeners(
-            reactor, self._state, self._callers.receive, self._counters, clock_ms, budget
+            reactor, self._state, self._callers.receive, self._counters, clock_ms, self._budget
         )
+        self._listeners.caller_site.on_refusal = self._report_refusal
         self._last_tick_ms = clock_ms()
         self._supervisor = supervision.Supervisor(
             reactor, self._driver.report_exception, self._end_start
@@ -140,6 +141,17 @@
         self._driver.report(core_effects.Log('settings_loaded'))
         self._report_defaults()
 
+    def _report_refusal(self, status: int) -> None:
+        """Log and count a request that was refused before it was complete."""
+        fields = (
+            ('status', status),
+            ('held_bytes', self._budget.held_bytes),
+            ('limit_bytes', round(self._budget.limit_bytes)),
+        )
+        self._driver.report(core_effects.Log('connection_refused', fields))
+        count = core_effects.Count(package_const.METRIC_CONNECTION_REFUSALS, str(status))
+        self._driver.report(count)
+
     def _report_defaults(self) -> None:
         """Log the bounds that the settings do not give."""
         names = self._settings.defaulted_bounds
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -245,6 +245,7 @@
         ('server', attempt.view.server.server_id),
         ('result', ended.result.value),
         ('status', ended.status),
+        ('detail', ended.detail),
         ('reused_connection', ended.reused_connection),
         ('elapsed_ms', round(now_ms - attempt.started_ms)),
         ('heard_ms_ago', responses.age_ms(attempt.view.last_answer_ms, now_ms)),
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -79,6 +79,8 @@
         Whether the response says that the server is leaving.
     retry_after_ms
         For how long the server wants no requests of this instance; ``None`` if it does not say so.
+    detail
+        How the connection failed, or what is wrong with the response; for the log.
     """
 
     attempt_number: int
@@ -90,6 +92,7 @@
     limit_per_s: float | None = None
     leaving: bool = False
     retry_after_ms: float | None = None
+    detail: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -86,6 +86,13 @@
     screen
         Called with the head of each request before its body is read; returns the response that
         refuses it, or ``None``.
+
+    Attributes
+    ----------
+    closing
+        Whether connections close after their pending requests.
+    on_refusal
+        Called with the status of each request that is refused without ``handle``.
     """
 
     def __init__(
@@ -104,6 +111,7 @@
         self._screen = screen
         self.channels: set[Channel] = set()
         self.closing = False
+        self.on_refusal: abc.Callable[[int], None] | None = None
 
     def buildProtocol(self, addr: typing.Any) -> 'Channel':  # noqa: N802
         """Return the protocol of a new connection."""
@@ -304,6 +312,8 @@
 
     def _refuse(self, refusal: messages.Response) -> None:
         """Queue an error response after the pending ones and close the connection."""
+        if self._site.on_refusal is not None:
+            self._site.on_refusal(refusal.status)
         self._parser.stop()
         self._reading.waiting_since_ms = math.inf
         self._reading.is_ending = True
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -221,6 +221,14 @@
     assert limited.sent.startswith(b'HTTP/1.1 503')
 
 
+def test_refusals_without_a_handler_are_reported(limited):
+    """Guards against callers that are refused without a trace in logs and metrics."""
+    statuses = []
+    limited.site.on_refusal = statuses.append
+    limited.receive(POST % (2 * BODY_BYTES - 1))
+    assert statuses == [503]
+
+
 def test_announced_body_over_the_limit_is_refused_by_its_head(limited, budget):
     """Guards against reading a body that will be refused."""
     limited.receive(POST % (2 * BODY_BYTES + 1))
