--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -71,7 +71,7 @@
         self._budget = initial_state.make_budget(memory_mb)
         self._settings_path = pathlib.Path(settings_path)
         self._settings = settings
-        self._settings_text = self._settings_path.read_bytes()
+        self._settings_text = self._read_settings_text()
         self._reactor = reactor
         self._counters = metrics.Metrics(settings.instance_id)
         self._member = initial_state.make_member(settings)
--- a/rhubarbspar/http1/memory.py
+++ b/rhubarbspar/http1/memory.py
@@ -5,6 +5,7 @@
 other only.
 """
 
+import dataclasses
 import math
 import typing
 from collections import abc
@@ -76,7 +77,8 @@
                 waiting.resume()
 
 
-class _Waiting(typing.NamedTuple):
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
     """What a share waits for."""
 
     size_bytes: int
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from rhubarbspar.gateway import daemon as gateway_daemon
+from rhubarbspar.gateway import settings
 from rhubarbspar.http1 import messages
 from tests.gateway import deployment as gateway_deployment
+from tests.gateway import test_settings
 
 
 @pytest.fixture
@@ -186,3 +189,12 @@
         assert deployment.gateway._state.bounds.stop_grace_ms == 7000
 
     deployment.loop.run(scenario())
+
+
+def test_settings_that_go_away_while_a_gateway_starts_are_no_fault(loop, tmp_path):
+    """Guards against a process that ends because its settings are away for a moment."""
+    path = tmp_path / 'settings.jsonc'
+    path.write_text(test_settings.fill_template(test_settings.VALUES))
+    loaded = settings.load(path)
+    path.unlink()
+    gateway_daemon.Daemon(str(path), loaded, loop.reactor).close()
--- a/tests/soak/pipelining.py
+++ b/tests/soak/pipelining.py
@@ -14,22 +14,8 @@
 _BODY = re.compile(rb'answer to c\d+-\d+')
 
 
-class PipeliningCaller:
-    """Sends idempotent requests in groups, each group on a connection of its own.
-
-    The parameters are those of ``callers.Caller``.
-    """
-
-    def __init__(self, reactor, fleet, ledger, clock_s, rng, name, key):
-        """Start nothing yet."""
-        self._reactor = reactor
-        self._fleet = fleet
-        self._ledger = ledger
-        self._clock_s = clock_s
-        self._rng = rng
-        self._name = name
-        self._key = key
-        self._count = 0
+class PipeliningCaller(callers.Caller):
+    """Sends idempotent requests in groups, each group on a connection of its own."""
 
     async def run(self, until_s):
         """Send requests until a time."""
