Start with an equal share of each account's rate and burst

Change: while the size of the fleet is not known for two seconds, an instance uses an equal share of rate and burst, and no estimate of the fleet's bucket.

--- a/rhubarbspar/gateway/buckets.py
+++ b/rhubarbspar/gateway/buckets.py
@@ -25,6 +25,23 @@
 DEMAND_MIN_PER_S: typing.Final = 0.25
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Division:
+    """How the limits of an account are divided.
+
+    Attributes
+    ----------
+    least_share
+        Least share of the burst that this instance may use, however small its share of the demand.
+    start_share
+        Share of rate and burst that an instance may use which has just started and does not know
+        what the others have admitted; ``None`` later.
+    """
+
+    least_share: float
+    start_share: float | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class Demand:
     """Exponential moving average of the requests per second."""
@@ -121,16 +138,10 @@
     children: ChildSums = dataclasses.field(default_factory=ChildSums)
     reported: messages.AccountUsage | None = None
 
-    def refill(self, now_ms: float, guaranteed_share: float) -> None:
+    def refill(self, now_ms: float, division: Division) -> None:
         """Add the tokens that have become due since the last refill.
 
         The tokens that the peers are assumed to have used are left out.
-
-        Parameters
-        ----------
-        guaranteed_share
-            Least share of the burst that this instance may use, however small its share of the
-            demand.
         """
         if self.refilled_ms == -math.inf:
             return
@@ -144,20 +155,28 @@
         silent_per_s = peer_demand_per_s - self.peer_demand_per_s
         self.peers_admitted += silent_per_s * admitted_share * elapsed_s
         self.children.admitted += self.children.silent_demand_per_s * admitted_share * elapsed_s
+        if division.start_share is not None:
+            self._refill_at_start(division.start_share, elapsed_s)
+            return
         added_tokens = (self.rate_per_s - peer_demand_per_s * admitted_share) * elapsed_s
-        share = max(guaranteed_share, self.local_demand_per_s / demand_per_s if demand_per_s else 1)
+        local_share = self.local_demand_per_s / demand_per_s if demand_per_s else 1
+        share = max(division.least_share, local_share)
         capacity = max(1.0, self.burst * BURST_SHARE * share)
         self.tokens = min(self.tokens + added_tokens, capacity)
         self.fleet_tokens = min(self.fleet_tokens + added_tokens, self.burst * FLEET_BURST_SHARE)
 
-    def start(self, now_ms: float) -> None:
+    def start(self, now_ms: float, division: Division) -> None:
         """Fill the bucket at the first request of the account; later calls change nothing.
 
-        The estimated bucket of the fleet stays empty if the demand at the peers exceeds the rate.
+        The estimated bucket of the fleet stays empty if the demand at the peers exceeds the rate,
+        and at an instance that has just started: the fleet may have used it.
         """
         if self.refilled_ms != -math.inf:
             return
         self.refilled_ms = now_ms
+        if division.start_share is not None:
+            self.tokens = self.burst * division.start_share
+            return
         self.tokens = self.burst
         if self._estimated_peer_demand() < self.rate_per_s:
             self.fleet_tokens = self.burst * FLEET_BURST_SHARE
@@ -223,6 +242,11 @@
                 self.children.silent_demand_per_s, demand_per_s
             )
 
+    def _refill_at_start(self, share: float, elapsed_s: float) -> None:
+        """Add tokens at an equal share of the rate."""
+        capacity = max(1.0, self.burst * BURST_SHARE * share)
+        self.tokens = min(self.tokens + self.rate_per_s * share * elapsed_s, capacity)
+
     @property
     def _fleet_has_tokens(self) -> bool:
         # Each side of a partitioned fleet would hand out the same tokens.
--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -111,9 +111,8 @@
         Number of the newest series of sums for a child.
     is_urgent
         Whether the peers should learn of admitted requests before the next heartbeat is due.
-    guaranteed_share
-        Least share of the burst that this instance may use at once, whatever its share of the
-        demand.
+    division
+        How the limits are divided among the instances.
     """
 
     accounts: dict[str, buckets.Bucket] = dataclasses.field(default_factory=dict)
@@ -121,14 +120,13 @@
     sent_to_children: dict[str, _SentSums] = dataclasses.field(default_factory=dict)
     last_sums_id: int = 0
     is_urgent: bool = False
-    guaranteed_share: float = GUARANTEED_SHARE_MAX
+    division: buckets.Division = buckets.Division(GUARANTEED_SHARE_MAX)
 
     def divide_among(self, size: fleet_size.FleetSize) -> None:
-        """Set the least share of each burst by the number of instances.
-
-        While the number is unknown, there is no such share: all instances may have just started.
-        """
-        self.guaranteed_share = min(GUARANTEED_SHARE_MAX, size.share(GUARANTEED_EQUAL_PARTS))
+        """Divide the limits of the accounts by the number of instances."""
+        least_share = min(GUARANTEED_SHARE_MAX, GUARANTEED_EQUAL_PARTS / size.instances)
+        start_share = None if size.is_known else 1 / size.instances
+        self.division = buckets.Division(least_share, start_share)
 
     def admit(self, account: models.ClientAccount, now_ms: float) -> float | None:
         """Take a token for a request of an account.
@@ -144,9 +142,9 @@
         bucket = self._bucket(account.account_id)
         bucket.rate_per_s = account.rate_per_s
         bucket.burst = account.burst
-        bucket.start(now_ms)
+        bucket.start(now_ms, self.division)
         bucket.demand.record(now_ms)
-        bucket.refill(now_ms, self.guaranteed_share)
+        bucket.refill(now_ms, self.division)
         if bucket.try_acquire(is_partitioned=self.is_partial):
             self._check_urgency(bucket)
             return None
@@ -341,7 +339,7 @@
 
     def _refilled_bucket(self, account_id: str, now_ms: float) -> buckets.Bucket:
         bucket = self._bucket(account_id)
-        bucket.refill(now_ms, self.guaranteed_share)
+        bucket.refill(now_ms, self.division)
         return bucket
 
     def _bucket(self, account_id: str) -> buckets.Bucket:
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -111,7 +111,10 @@
         ('known_revision', known_revision),
     )
     outputs.append(core_effects.Log('snapshot_applied', log_fields))
-    return outputs + store_records.apply_records(state, changed, now_ms)
+    outputs.extend(store_records.apply_records(state, changed, now_ms))
+    # Requests may follow at once; the shares must not be those of an instance that knew no other.
+    state.quotas.divide_among(state.fleet.size(now_ms))
+    return outputs
 
 
 def _reduce_peer_event(
--- a/rhubarbspar/gateway/store_relay.py
+++ b/rhubarbspar/gateway/store_relay.py
@@ -102,6 +102,7 @@
         ('changed', len(changed)),
     )
     applied = store_records.apply_records(state, changed, now_ms)
+    state.quotas.divide_among(state.fleet.size(now_ms))
     return [core_effects.Log('snapshot_relayed', log_fields), *applied]
 
 
--- a/tests/gateway/test_tree.py
+++ b/tests/gateway/test_tree.py
@@ -261,3 +261,21 @@
     send_requests(network, 5000, 0.6 * ACCOUNT.rate_per_s)
     admitted_ms = send_requests(network, 5000, 0.6 * ACCOUNT.rate_per_s)
     assert len(admitted_ms) >= 0.98 * 5 * 0.6 * ACCOUNT.rate_per_s
+
+
+@pytest.mark.parametrize('size', [2, SIZE])
+@pytest.mark.parametrize('down_ms', [200, 1000])
+def test_fleet_that_restarts_under_load_keeps_to_the_rate(size, down_ms):
+    """Guards against instances that all start with the whole burst of an account."""
+    network = make_network(size)
+    demand_per_s = 3 * ACCOUNT.rate_per_s
+    admitted_ms = send_requests(network, 4000, demand_per_s)
+    restarted = sorted(network.instances)
+    for instance_id in restarted:
+        network.kill(instance_id)
+    network.run(down_ms)
+    for instance_id in restarted:
+        network.start(instance_id, instance_id.rpartition('-')[0])
+    after_ms = send_requests(network, 5000, demand_per_s)
+    assert most_in_window(admitted_ms + after_ms) <= ACCOUNT_MAX
+    assert len(after_ms) >= 0.8 * (5 * ACCOUNT.rate_per_s - ACCOUNT.burst)
