Use no fixed retries until a window of the budget has passed

Cause: a process that restarts within a window of the budget does not know what the process before it has used, and began its share of the allowance again. A fleet that restarts in turn, or twice, used it several times.

Change: for one window after the first read of the store, an instance retries only at the ratio of its requests.

--- a/rhubarbspar/gateway/budget.py
+++ b/rhubarbspar/gateway/budget.py
@@ -73,8 +73,11 @@
         window = self.windows[service_id]
         requests = sum(interval.requests for interval in window)
         retries = sum(interval.retries for interval in window)
-        share = size.share(self.limits.allowance * ALLOWANCE_SHARE)
-        allowance = self._whole_retries(share, f'{instance_id}/{service_id}', now_ms)
+        allowance = 0.0
+        if size.known_for_ms >= self.limits.window_ms:
+            # Until then, the process before this one may have used its share of the same window.
+            share = size.share(self.limits.allowance * ALLOWANCE_SHARE)
+            allowance = self._whole_retries(share, f'{instance_id}/{service_id}', now_ms)
         if retries + 1 > self.limits.ratio * RATIO_SHARE * requests + allowance:
             return False
         current.retries += 1
--- a/rhubarbspar/gateway/fleet_size.py
+++ b/rhubarbspar/gateway/fleet_size.py
@@ -24,12 +24,17 @@
     ----------
     instances
         Instances that may serve, whether or not they are heard; at least 1.
-    is_known
-        Whether the store has shown which instances there are.
+    known_for_ms
+        Time since the store was first read; negative before.
     """
 
     instances: int
-    is_known: bool
+    known_for_ms: float
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether the store has shown which instances there are."""
+        return self.known_for_ms >= SETTLE_MS
 
     def share(self, total: float) -> float:
         """Return the part of a total that this instance may use; 0 while the size is unknown."""
@@ -65,5 +70,4 @@
 
     def size(self, now_ms: float) -> FleetSize:
         """Return the number of instances."""
-        is_known = now_ms - self.read_ms >= SETTLE_MS
-        return FleetSize(max(self._largest, self._largest_before), is_known)
+        return FleetSize(max(self._largest, self._largest_before), now_ms - self.read_ms)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -11,7 +11,6 @@
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import fleet
-from rhubarbspar.gateway import fleet_size
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import reducer
 from rhubarbspar.gateway import selection
@@ -27,6 +26,10 @@
 ACCOUNT = models.ClientAccount('workshop', ('key-1',), None, 0, 0)
 
 
+# An instance of the tests has been running for this long, unless the test says otherwise.
+RUNNING_MS = 60_000
+
+
 class Gateway:
     """The state and reducer of a gateway, with a clock that the test advances."""
 
@@ -43,7 +46,7 @@
             budget=budget.RetryBudget(budget.BudgetLimits(0.2, 56, 10_000)),
             network=selection.NetworkTopology('almaty-a', 'almaty', REGIONS),
         )
-        self.state.fleet.sizes.note_read(self.now_ms - fleet_size.SETTLE_MS)
+        self.state.fleet.sizes.note_read(self.now_ms - RUNNING_MS)
         self._last_number = 0
 
     def reduce(self, event: core_events.Event) -> list[core_effects.Effect]:
--- a/tests/gateway/test_fleet_size.py
+++ b/tests/gateway/test_fleet_size.py
@@ -34,7 +34,7 @@
             gateway.declare(f'members/front-{other}', member)
     gateway.advance(250)
     if settled:
-        gateway.advance(fleet_size.SETTLE_MS)
+        gateway.advance(LIMITS.window_ms)
     return gateway
 
 
@@ -66,10 +66,23 @@
     assert retries
 
 
+def test_restarted_instances_do_not_spend_their_allowance_again():
+    """Guards against a fleet whose processes restart in turn and each begin a new allowance."""
+    spent = 0
+    for start_ms in (0, 3000, 6000):
+        for number in range(8):
+            restarted = budget.RetryBudget(LIMITS)
+            known_for_ms = LIMITS.window_ms if start_ms == 0 else 2900
+            size = fleet_size.FleetSize(8, known_for_ms)
+            while restarted.try_acquire('stock', f'front-{number}', size, start_ms + 2900):
+                spent += 1
+    assert 0 < spent <= ALLOWANCE
+
+
 def test_some_instances_may_retry_in_a_quiet_service():
     """Guards against a large fleet in which nobody has a whole retry."""
     owner_ids = [f'front-{number}' for number in range(INSTANCES)]
-    size = fleet_size.FleetSize(INSTANCES, is_known=True)
+    size = fleet_size.FleetSize(INSTANCES, LIMITS.window_ms)
     for window in range(20):
         now_ms = window * LIMITS.window_ms
         budgets = [budget.RetryBudget(LIMITS) for _ in owner_ids]
