Refuse no small accounts for seconds after a start

Callers would have seen: on a fleet that restarts, accounts well within their rates refused for two seconds, since an equal share of a small burst is less than one request.

Change: a fresh instance has one token at least, 1.2 equal parts, for 0.8 s instead of two: by then the first heartbeats have brought the sums.

--- a/rhubarbspar/gateway/buckets.py
+++ b/rhubarbspar/gateway/buckets.py
@@ -175,7 +175,7 @@
             return
         self.refilled_ms = now_ms
         if division.start_share is not None:
-            self.tokens = self.burst * division.start_share
+            self.tokens = max(1.0, self.burst * division.start_share)
             return
         self.tokens = self.burst
         if self._estimated_peer_demand() < self.rate_per_s:
--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -24,6 +24,10 @@
 # of the burst, even if its share of the demand is smaller.
 GUARANTEED_EQUAL_PARTS: typing.Final = 1.5
 GUARANTEED_SHARE_MAX: typing.Final = 0.25
+# For this long after its first read of the store, an instance has no sums of the others; it may use
+# this many times an equal part of rate and burst, and one request at least.
+START_MS: typing.Final = 800
+START_EQUAL_PARTS: typing.Final = 1.2
 # A peer without a heartbeat for this long is silent: three heartbeat intervals of a small fleet,
 # and a margin for a pause of the process.
 SILENT_MS: typing.Final = 2500
@@ -125,7 +129,9 @@
     def divide_among(self, size: fleet_size.FleetSize) -> None:
         """Divide the limits of the accounts by the number of instances."""
         least_share = min(GUARANTEED_SHARE_MAX, GUARANTEED_EQUAL_PARTS / size.instances)
-        start_share = None if size.is_known else 1 / size.instances
+        start_share = None
+        if size.known_for_ms < START_MS:
+            start_share = min(1.0, START_EQUAL_PARTS / size.instances)
         self.division = buckets.Division(least_share, start_share)
 
     def admit(self, account: models.ClientAccount, now_ms: float) -> float | None:
--- a/tests/gateway/test_tree.py
+++ b/tests/gateway/test_tree.py
@@ -279,3 +279,27 @@
     after_ms = send_requests(network, 5000, demand_per_s)
     assert most_in_window(admitted_ms + after_ms) <= ACCOUNT_MAX
     assert len(after_ms) >= 0.8 * (5 * ACCOUNT.rate_per_s - ACCOUNT.burst)
+
+
+def test_fleet_that_restarts_serves_accounts_within_their_rates():
+    """Guards against shares of less than one request that refuse small accounts after a restart."""
+    network = make_network()
+    accounts = [
+        models.ClientAccount(f'small-{number}', (f'small-{number}',), None, 5, 5)
+        for number in range(8)
+    ]
+    services = [models.Service('stock', 3000, 7)]
+    network.write('config', models.make_configuration(2, [conftest.READS], services, accounts))
+    restarted = sorted(network.instances)
+    for instance_id in restarted:
+        network.kill(instance_id)
+    network.run(400)
+    for instance_id in restarted:
+        network.start(instance_id, instance_id.rpartition('-')[0])
+    results = []
+    for number in range(80):
+        network.run(50)
+        target = restarted[number * 7 % len(restarted)]
+        access_key = accounts[number % len(accounts)].keys[0]
+        results.append(network.request(target, path='/stock/1', access_key=access_key))
+    assert results.count(False) <= 0.1 * len(results)
