Keep the validators of times and numbers with the others

Cause: the adapter held two validators that the gateway's own settings use too, and one comment stood for two constants of the shares at a start.

No behaviour changes.

--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -24,9 +24,9 @@
 # of the burst, even if its share of the demand is smaller.
 GUARANTEED_EQUAL_PARTS: typing.Final = 1.5
 GUARANTEED_SHARE_MAX: typing.Final = 0.25
-# For this long after its first read of the store, an instance has no sums of the others; it may use
-# this many times an equal part of rate and burst, and one request at least.
+# For this long after its first read of the store, an instance has no sums of the others.
 START_MS: typing.Final = 800
+# Until then, it may use this many times an equal part of rate and burst, and one request at least.
 START_EQUAL_PARTS: typing.Final = 1.2
 # A peer without a heartbeat for this long is silent: three heartbeat intervals of a small fleet,
 # and a margin for a pause of the process.
--- a/rhubarbspar/gateway/settings.py
+++ b/rhubarbspar/gateway/settings.py
@@ -134,9 +134,9 @@
 _DURATIONS: typing.Final = frozenset(('retry_window', 'stop_grace'))
 _BOUNDS: typing.Final = voluptuous.Schema(
     {
-        voluptuous.Optional(name): platform_bounds.duration_ms
+        voluptuous.Optional(name): validators.duration_ms
         if name in _DURATIONS
-        else platform_bounds.NUMBER
+        else validators.non_negative
         for name in _BOUND_NAMES
     }
 )
--- a/rhubarbspar/helpers/validators.py
+++ b/rhubarbspar/helpers/validators.py
@@ -7,7 +7,10 @@
 
 import voluptuous
 
+from rhubarbspar.helpers import durations
+
 PORT_MAX: typing.Final = 65_535
+_NON_NEGATIVE: typing.Final = voluptuous.Range(min=0)
 _IDENTIFIER: typing.Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
 
 
@@ -67,6 +70,20 @@
         raise voluptuous.Invalid('number is too large') from None
 
 
+def non_negative(raw: typing.Any) -> float:
+    """Accept a number of at least 0 and return a float."""
+    accepted: float = _NON_NEGATIVE(number(raw))
+    return accepted
+
+
+def duration_ms(raw: object) -> float:
+    """Accept a time with its unit and return milliseconds."""
+    try:
+        return durations.parse_ms(raw)
+    except ValueError as error:
+        raise voluptuous.Invalid('expected a time such as 1500ms or 2.5s') from error
+
+
 def _check_host(host: str) -> None:
     bare = host.removeprefix('[').removesuffix(']')
     try:
--- a/rhubarbspar/platform/bounds.py
+++ b/rhubarbspar/platform/bounds.py
@@ -7,23 +7,11 @@
 
 import voluptuous
 
-from rhubarbspar.helpers import durations
 from rhubarbspar.helpers import validators
 
 _Decode: typing.TypeAlias = abc.Callable[[typing.Any], float]
 
 
-def duration_ms(raw: object) -> float:
-    """Accept a time with its unit and return milliseconds."""
-    try:
-        return durations.parse_ms(raw)
-    except ValueError as error:
-        raise voluptuous.Invalid('expected a time such as 1500ms or 2.5s') from error
-
-
-NUMBER: typing.Final = voluptuous.All(validators.number, voluptuous.Range(min=0))
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Field:
     """A bound of the platform: its name here, and the validator of its value."""
@@ -34,12 +22,12 @@
 
 _FIELDS: typing.Final[abc.Mapping[str, _Field]] = types.MappingProxyType(
     {
-        'budgetWindow': _Field('retry_window', duration_ms),
-        'exposureShare': _Field('exposure_ratio', NUMBER),
-        'exposureSlack': _Field('exposure_allowance', NUMBER),
-        'grace': _Field('stop_grace', duration_ms),
-        'retryBudgetRatio': _Field('retry_ratio', NUMBER),
-        'retryBudgetSlack': _Field('retry_allowance', NUMBER),
+        'budgetWindow': _Field('retry_window', validators.duration_ms),
+        'exposureShare': _Field('exposure_ratio', validators.non_negative),
+        'exposureSlack': _Field('exposure_allowance', validators.non_negative),
+        'grace': _Field('stop_grace', validators.duration_ms),
+        'retryBudgetRatio': _Field('retry_ratio', validators.non_negative),
+        'retryBudgetSlack': _Field('retry_allowance', validators.non_negative),
     }
 )
 
