Report the memory and descriptors that a process uses

Callers saw requests without an answer and processes that ended, and the logs and metrics of a gateway could not tell memory that ran out from descriptors that were used up or a signal during the start.

A line memory_high says once for 60, 70, 80 and 90% that the peak of the memory has passed this share of the limit. No routing logic changes.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -1,7 +1,6 @@
 """The gateway daemon: builds the parts of a gateway and runs them in one process."""
 
 import asyncio
-import functools
 import importlib
 import pathlib
 import signal
@@ -24,6 +23,7 @@
 from rhubarbspar.gateway import listeners
 from rhubarbspar.gateway import log_stream
 from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import process_usage
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import settings_wait
 from rhubarbspar.gateway import state as gateway_state
@@ -74,6 +74,7 @@
         self._settings_text = self._read_settings_text()
         self._reactor = reactor
         self._counters = metrics.Metrics(settings.instance_id)
+        self._counters.add_gauges(process_usage.read_gauges)
         self._member = initial_state.make_member(settings)
         self._state = initial_state.create(settings, self._member)
         process = effect_driver.Process(
@@ -82,6 +83,7 @@
             self._exit,
         )
         self._driver = effect_driver.Driver(self._state, clock_ms, self._counters, process)
+        self._memory_watch = process_usage.watch_memory(memory_mb, self._driver.report)
         deliver = self._driver.deliver
         self._callers = caller_requests.CallerRequests(deliver)
         self._backends = backend_client.BackendClient(reactor, deliver, clock_ms, self._budget)
@@ -164,8 +166,9 @@
 
         A port that is bound later may be taken by an outgoing connection of this process.
         """
-        listen = functools.partial(self._listeners.open, self._settings, self._driver.forwards)
-        await self._supervisor.bind('ports', listen)
+        await self._supervisor.bind(
+            'ports', lambda: self._listeners.open(self._settings, self._driver.forwards)
+        )
         self._supervisor.run('watch_records', self._store.watch_records)
         self._supervisor.run('keep_registered', self._store.keep_registered)
         self._supervisor.run('metrics', self._open_metrics)
@@ -213,11 +216,12 @@
         self._backends.close_expired()
 
     def _check_settings(self) -> None:
-        """Report dropped log lines, and reload the settings if the file has changed.
+        """Report dropped log lines and much memory in use, and reload the settings if the file has changed.
 
         While the file is absent, the settings stay in force.
         """
         self._driver.report_dropped_lines()
+        self._memory_watch.check()
         text = self._read_settings_text()
         if text not in {None, self._settings_text}:
             self.reload()
--- a/rhubarbspar/gateway/memory_limits.py
+++ b/rhubarbspar/gateway/memory_limits.py
@@ -27,6 +27,11 @@
     return memory.MemoryBudget(int(max(_BUDGET_MIN_MB, planned_mb) * _BYTES_PER_MB))
 
 
+def process_bytes(memory_mb: str) -> float:
+    """Return the memory that the process may use, from the same text as ``make_budget``."""
+    return _parse_mb(memory_mb) * _BYTES_PER_MB
+
+
 def _parse_mb(raw: str) -> float:
     try:
         parsed = float(raw)
--- a/rhubarbspar/server/metrics.py
+++ b/rhubarbspar/server/metrics.py
@@ -1,7 +1,9 @@
 """Prometheus counters by reason and histograms of durations by service."""
 
+import dataclasses
 import types
 import typing
+from collections import abc
 
 from aioprometheus import collectors
 from aioprometheus import renderer
@@ -25,8 +27,16 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gauge:
+    """A value that is read when the metrics are rendered."""
+
+    name: str
+    amount: float
+
+
 class Metrics:
-    """Counters and histograms of one instance."""
+    """Counters, histograms and gauges of one instance."""
 
     def __init__(self, instance_id: str) -> None:
         """Create the common counters with the instance as a constant label."""
@@ -34,6 +44,8 @@
         self._labels = {'instance': instance_id}
         self._counters: dict[str, collectors.Counter] = {}
         self._histograms: dict[str, collectors.Histogram] = {}
+        self._gauges: dict[str, collectors.Gauge] = {}
+        self._gauge_sources: list[abc.Callable[[], abc.Iterable[Gauge]]] = []
         for name in _DESCRIPTIONS:
             self._counters[name] = self._create(name)
 
@@ -59,11 +71,30 @@
             self._histograms[metric] = histogram
         histogram.observe({'service': service_id}, elapsed_ms)
 
+    def add_gauges(self, read: abc.Callable[[], abc.Iterable[Gauge]]) -> None:
+        """Read gauges from a function each time that the metrics are rendered."""
+        self._gauge_sources.append(read)
+
     def render(self, accept: str) -> tuple[bytes, dict[str, typing.Any]]:
         """Return the exposition in the accepted format and its HTTP headers."""
+        for read in self._gauge_sources:
+            for gauge in read():
+                self._set(gauge)
         body, http_headers = renderer.render(self._registry, [accept])
         return body, http_headers
 
+    def _set(self, gauge: Gauge) -> None:
+        collector = self._gauges.get(gauge.name)
+        if collector is None:
+            collector = collectors.Gauge(
+                f'rhubarbspar_{gauge.name}',
+                'Present value.',
+                const_labels=self._labels,
+                registry=self._registry,
+            )
+            self._gauges[gauge.name] = collector
+        collector.set({}, gauge.amount)
+
     def _create(self, name: str) -> collectors.Counter:
         return collectors.Counter(
             f'rhubarbspar_{name}_total',
