Use standard terms in the fleets of reducers

The fleets that run reducers without a network used feed, give, heal, mend, strike and offer for what they do. They are dispatch, dispatch_later, end_faults, end_faults_and_cuts, inject, measure_headroom and send_load now; claims use local_holder. No behaviour changes.

--- a/rhubarbspar/bench/backends.py
+++ b/rhubarbspar/bench/backends.py
@@ -113,7 +113,7 @@
                 server = self.servers[server_id]
                 if not server.dead and self._reaches(instance_id, server):
                     report = events.LoadReported(server_id, len(server.busy), False, True)
-                    self._fleet.give(instance_id, report)
+                    self._fleet.dispatch_later(instance_id, report)
 
     def _on_effect(self, instance_id: str, effect: effects.Effect) -> None:
         match effect:
@@ -151,7 +151,7 @@
             return
         timeout_ms = server_const.BACKEND_CONNECT_TIMEOUT_MS
         failed = events.AttemptFinished(run[1], _NOT_RUN, timeout_ms)
-        self._fleet.give(instance_id, failed, timeout_ms)
+        self._fleet.dispatch_later(instance_id, failed, timeout_ms)
 
     def _accept(self, instance_id: str, run: Run, server: Backend, request: models.Request) -> None:
         if server.dead:
@@ -195,7 +195,7 @@
             delay_ms = self._delay_ms(instance_id, server)
             latency_ms = service_time_ms + 2 * delay_ms
             event = events.AttemptFinished(run[1], outcome, latency_ms, connection_lost=lost)
-            self._fleet.give(instance_id, event, delay_ms)
+            self._fleet.dispatch_later(instance_id, event, delay_ms)
 
 
 def _free(server: Backend, run: Run) -> None:
--- a/rhubarbspar/bench/callers.py
+++ b/rhubarbspar/bench/callers.py
@@ -102,7 +102,7 @@
         self._open: dict[str, tuple[Call, str]] = {}
         fleet.listeners.append(self._on_effect)
 
-    def offer(self, rates_per_s: dict[str, float], end_ms: float) -> None:
+    def send_load(self, rates_per_s: dict[str, float], end_ms: float) -> None:
         """Send requests of each account with exponential gaps until a time."""
         for account_id, rate_per_s in rates_per_s.items():
             self._next(account_id, rate_per_s, end_ms)
@@ -201,7 +201,9 @@
             event = events.LookupReceived(
                 lookup_id, place[2], _address(self._fleet.deployed, place), digest
             )
-            self._fleet.give(name, event, wide_fleet.delay_ms(self._fleet, place[1], name))
+            self._fleet.dispatch_later(
+                name, event, wide_fleet.delay_ms(self._fleet, place[1], name)
+            )
 
     def _no_answer(self, lookup_id: str) -> None:
         place = self._lookups.pop(lookup_id, None)
@@ -265,7 +267,7 @@
             idempotency_key=call.key,
             deadline_ms=self._fleet.clock_of(name) + call.route.timeout_ms,
         )
-        self._fleet.give(name, events.RequestReceived(request))
+        self._fleet.dispatch_later(name, events.RequestReceived(request))
 
     def _on_effect(self, instance_id: str, effect: effects.Effect) -> None:
         match effect:
@@ -312,7 +314,7 @@
         if found is None:
             return
         if cancel_at:
-            self._fleet.give(cancel_at, events.RequestCancelled(attempt_id))
+            self._fleet.dispatch_later(cancel_at, events.RequestCancelled(attempt_id))
         call = found[0]
         call.heard = False
         call.may_have_run = True
--- a/rhubarbspar/bench/fault_classes.py
+++ b/rhubarbspar/bench/fault_classes.py
@@ -75,7 +75,7 @@
 
     begin: abc.Callable[[Run], None]
     watched_ms: float
-    heals_after_ms: float = 0
+    ends_after_ms: float = 0
     overload: bool = False
 
 
@@ -136,7 +136,7 @@
     run.leaving_ms = run.fleet.now_ms
     run.left_ms = run.leaving_ms
     run.fleet.listeners.append(functools.partial(_note_stop, run))
-    run.fleet.give(run.leaving_id, events.StopRequested())
+    run.fleet.dispatch_later(run.leaving_id, events.StopRequested())
 
 
 def _note_stop(run: Run, instance_id: str, effect: effects.Effect) -> None:
--- a/rhubarbspar/bench/fleet.py
+++ b/rhubarbspar/bench/fleet.py
@@ -103,10 +103,10 @@
             event = events.StoreChanged(tag, (record,), revision)
             self.schedule(
                 self._random.uniform(*self.faults.store_delay_ms),
-                functools.partial(self.feed, instance_id, event),
+                functools.partial(self.dispatch, instance_id, event),
             )
 
-    def feed(self, instance_id: str, event: events.Event) -> None:
+    def dispatch(self, instance_id: str, event: events.Event) -> None:
         """Give an event to an instance, timed."""
         state = self.nodes[instance_id].state
         before = state.configuration.current
@@ -132,12 +132,12 @@
             None,
             self.clock_of(instance_id) + scenario.DEADLINE_MS,
         )
-        self.feed(instance_id, events.RequestReceived(request))
+        self.dispatch(instance_id, events.RequestReceived(request))
 
     def report_every(self, interval_ms: int) -> None:
         """Send heartbeats between all pairs of instances more often than the membership does."""
         for instance_id, peer_id in itertools.permutations(sorted(self.nodes), 2):
-            self.feed(instance_id, membership_models.HeartbeatDue(peer_id))
+            self.dispatch(instance_id, membership_models.HeartbeatDue(peer_id))
         self.schedule(interval_ms, functools.partial(self.report_every, interval_ms))
 
     def _hops_to(self, event: events.Event) -> int:
@@ -165,7 +165,7 @@
         started_s = time.process_time()
         message = _CODEC.decode(frame)
         self.counted.processor_s += time.process_time() - started_s
-        self.feed(peer_id, events.MessageReceived(sender_id, message))
+        self.dispatch(peer_id, events.MessageReceived(sender_id, message))
 
     def _heartbeat(self, node: network.Node) -> None:
         """Leave heartbeats to the membership component."""
@@ -187,7 +187,7 @@
             case effects.StartAttempt(attempt_id):
                 finished = events.AttemptFinished(attempt_id, OK, self.service_time_ms)
                 self.schedule(
-                    self.service_time_ms, functools.partial(self.feed, instance_id, finished)
+                    self.service_time_ms, functools.partial(self.dispatch, instance_id, finished)
                 )
             case effects.Respond(request_id, outcome):
                 self.answers[request_id] = outcome
@@ -195,7 +195,7 @@
     def _connect(self, instance_id: str, peer_id: str) -> None:
         incarnation = self.nodes[peer_id].state.membership.incarnation
         event = events.PeerConnected(peer_id, incarnation)
-        self.schedule(DIAL_MS, functools.partial(self.feed, instance_id, event))
+        self.schedule(DIAL_MS, functools.partial(self.dispatch, instance_id, event))
 
     def _list_instances(self) -> None:
         listed = tuple(
@@ -203,7 +203,7 @@
             for name in self.nodes
         )
         for instance_id in tuple(self.nodes):
-            self.feed(instance_id, events.InstancesListed(listed))
+            self.dispatch(instance_id, events.InstancesListed(listed))
         self.schedule(network.LIST_INTERVAL_MS, self._list_instances)
 
     def _located(self, instance_id: str) -> membership_models.KnownPeer:
--- a/rhubarbspar/bench/home_failure.py
+++ b/rhubarbspar/bench/home_failure.py
@@ -83,7 +83,7 @@
         self.configuration = _configuration(self.configuration, sorted(self.domains))
         self.write(self.configuration)
 
-    def strike(self, fault: str, instance_id: str) -> None:
+    def inject(self, fault: str, instance_id: str) -> None:
         """Start a fault; a pause or cut ends by itself."""
         match fault:
             case 'killed':
@@ -93,25 +93,25 @@
             case 'cut_off':
                 for peer_id in self.domains:
                     self.faults.cut(instance_id, peer_id)
-                self.schedule(FAULT_MS, self.heal)
+                self.schedule(FAULT_MS, self.end_faults)
             case 'stopped':
-                self.feed(instance_id, events.StopRequested())
+                self.dispatch(instance_id, events.StopRequested())
 
     def kill(self, instance_id: str) -> None:
         """Kill a process; the kernel resets its connections."""
         super().kill(instance_id)
         for peer_id in tuple(self.nodes):
             reset = events.PeerDisconnected(instance_id)
-            self.schedule(RESET_MS, functools.partial(self.feed, peer_id, reset))
+            self.schedule(RESET_MS, functools.partial(self.dispatch, peer_id, reset))
 
-    def feed(self, instance_id: str, event: events.Event) -> None:
+    def dispatch(self, instance_id: str, event: events.Event) -> None:
         """Give an event to an instance; a paused one gets it after its pause."""
         if instance_id in self.running():
-            super().feed(instance_id, event)
+            super().dispatch(instance_id, event)
             return
         paused = self.nodes.get(instance_id)
         if paused is not None:
-            self._deliver(paused, functools.partial(self.feed, instance_id, event))
+            self._deliver(paused, functools.partial(self.dispatch, instance_id, event))
 
     def _connect(self, instance_id: str, peer_id: str) -> None:
         pair = frozenset((instance_id, peer_id))
@@ -152,7 +152,7 @@
         for number, load in enumerate(LOADS)
         if load.fault == fault
     }
-    running.schedule(BEFORE_MS, functools.partial(running.strike, fault, home_id))
+    running.schedule(BEFORE_MS, functools.partial(running.inject, fault, home_id))
     fault_ms = running.now_ms + BEFORE_MS
     running.run(BEFORE_MS + AFTER_MS + scenario.DEADLINE_MS)
     for load, requests in times.items():
--- a/rhubarbspar/bench/idle.py
+++ b/rhubarbspar/bench/idle.py
@@ -45,9 +45,9 @@
         self.tick_s: float = 0
         super().__init__(size, 1, seed)
 
-    def feed(self, instance_id: str, event: events.Event) -> None:
+    def dispatch(self, instance_id: str, event: events.Event) -> None:
         before_s = self.counted.processor_s
-        super().feed(instance_id, event)
+        super().dispatch(instance_id, event)
         if isinstance(event, events.Tick):
             self.tick_s += self.counted.processor_s - before_s
 
--- a/rhubarbspar/bench/measures.py
+++ b/rhubarbspar/bench/measures.py
@@ -63,7 +63,7 @@
             continue
         sys.stderr.write(f'  {name} at {choice.share} of the slots: {fault}\n')
         run: fault_classes.Run = pickle.loads(warm)
-        headroom = offer(run, fault, choice.share)
+        headroom = measure_headroom(run, fault, choice.share)
         latencies = [_percentile(run, rank) for rank in PERCENTILES]
         calm = calm or latencies
         shown: Shown = {'deployment': name, 'fault': fault, 'share_of_slots': choice.share}
@@ -82,18 +82,18 @@
     return fault_classes.Run(fleet, servers, sending)
 
 
-def offer(run: fault_classes.Run, fault: str, share: float) -> dict[str, int]:
+def measure_headroom(run: fault_classes.Run, fault: str, share: float) -> dict[str, int]:
     """Send load, apply a fault, and return the least headroom by region."""
     chosen = fault_classes.FAULT_CLASSES[fault]
     fleet = run.fleet
     end_ms = fleet.now_ms + LEAD_MS + chosen.watched_ms
     if chosen.overload:
         run.callers.keyed_only = _largest(run)
-    run.callers.offer(_rates_per_s(run, chosen.overload, share), end_ms)
+    run.callers.send_load(_rates_per_s(run, chosen.overload, share), end_ms)
     least: dict[str, int] = {}
     fleet.schedule(LEAD_MS, functools.partial(chosen.begin, run))
-    if chosen.heals_after_ms:
-        fleet.schedule(LEAD_MS + chosen.heals_after_ms, fleet.mend)
+    if chosen.ends_after_ms:
+        fleet.schedule(LEAD_MS + chosen.ends_after_ms, fleet.end_faults_and_cuts)
     sample = functools.partial(_sample, run, least, end_ms)
     fleet.schedule(LEAD_MS, sample)
     fleet.run(LEAD_MS + chosen.watched_ms)
--- a/rhubarbspar/bench/rollouts.py
+++ b/rhubarbspar/bench/rollouts.py
@@ -111,7 +111,7 @@
         node = self.nodes[instance_id]
         node.state.rollout.unix_offset_ms = UNIX_MS - node.offset_ms
 
-    def feed(self, instance_id: str, event: events.Event) -> None:
+    def dispatch(self, instance_id: str, event: events.Event) -> None:
         """Give an event to the two components."""
         state = self.nodes[instance_id].state
         now_ms = self.clock_of(instance_id)
--- a/rhubarbspar/bench/wide_fleet.py
+++ b/rhubarbspar/bench/wide_fleet.py
@@ -86,10 +86,10 @@
             if not reachable(self, *(self.domains[name] for name in pair)):
                 self.connections.silent.add(number)
 
-    def mend(self) -> None:
+    def end_faults_and_cuts(self) -> None:
         """End cuts and faults of the store."""
         self.cuts.clear()
-        self.heal()
+        self.end_faults()
 
     def stop_store(self) -> None:
         """Begin an outage of the store, which ends all watches."""
@@ -108,11 +108,11 @@
         for instance_id, tag in watches:
             self._notify(instance_id, tag)
 
-    def give(self, instance_id: str, event: events.Event, delay_ms: float = 0) -> None:
+    def dispatch_later(self, instance_id: str, event: events.Event, delay_ms: float = 0) -> None:
         """Give an event to an instance that still runs then, after its pause if it is paused."""
         node = self.nodes.get(instance_id)
         if node is not None:
-            action = functools.partial(self.feed, instance_id, event)
+            action = functools.partial(self.dispatch, instance_id, event)
             self.schedule(delay_ms, functools.partial(self._deliver, node, action))
 
     def carry_out(self, instance_id: str, outputs: abc.Iterable[effects.Effect]) -> None:
@@ -144,7 +144,7 @@
         self.connections.numbers[pair] = next(self._numbers)
         for one, other in ((dialler_id, peer_id), (peer_id, dialler_id)):
             incarnation = self.nodes[other].state.membership.incarnation
-            self.give(one, events.PeerConnected(other, incarnation))
+            self.dispatch_later(one, events.PeerConnected(other, incarnation))
 
     def _close(self, pair: frozenset[str]) -> None:
         number = self.connections.numbers.pop(pair, None)
@@ -152,7 +152,9 @@
             return
         for one in pair & self.nodes.keys():
             other = next(iter(pair - {one}))
-            self.give(one, events.PeerDisconnected(other), _peer_delay_ms(self, one, other))
+            self.dispatch_later(
+                one, events.PeerDisconnected(other), _peer_delay_ms(self, one, other)
+            )
 
     def _send(self, sender_id: str, peer_id: str, message: messages.Message) -> None:
         """Deliver in the order of the connection; nothing arrives from a closed or silent one."""
@@ -170,7 +172,7 @@
     def _arrive_on(self, number: int, sender_id: str, peer_id: str, event: events.Event) -> None:
         if self.connections.number(sender_id, peer_id) == number:
             node = self.nodes[peer_id]
-            self._deliver(node, functools.partial(self.feed, peer_id, event))
+            self._deliver(node, functools.partial(self.dispatch, peer_id, event))
 
     def _call_store(self, node: network.Node, effect: network.StoreCall, sent_ms: float) -> None:
         if _reaches_store(self, node.instance_id):
@@ -192,12 +194,12 @@
         document, revision, _ = self.store.records[self.watches[instance_id, tag]]
         record = events.StoreRecord(package_const.STORE_KEY_CONFIGURATION, document, revision)
         delay_ms = self._random.uniform(*self.faults.store_delay_ms)
-        self.give(instance_id, events.StoreChanged(tag, (record,), revision), delay_ms)
+        self.dispatch_later(instance_id, events.StoreChanged(tag, (record,), revision), delay_ms)
 
     def _end_watch(self, instance_id: str, tag: str) -> None:
         self.watches.pop((instance_id, tag), None)
         failed = events.StoreAnswered(tag, events.StoreOutcome.FAILED, 0)
-        self.give(instance_id, failed, network.CALL_TIMEOUT_MS)
+        self.dispatch_later(instance_id, failed, network.CALL_TIMEOUT_MS)
 
     def _heartbeat(self, node: network.Node) -> None:
         """Leave heartbeats to the membership component."""
@@ -217,7 +219,7 @@
         )
         for instance_id in tuple(self.nodes):
             if _reaches_store(self, instance_id):
-                self.give(instance_id, events.InstancesListed(listed))
+                self.dispatch_later(instance_id, events.InstancesListed(listed))
         self.schedule(network.LIST_INTERVAL_MS, self._list_instances)
 
 
--- a/rhubarbspar/components/claims/lease.py
+++ b/rhubarbspar/components/claims/lease.py
@@ -163,9 +163,9 @@
     outputs: list[effects.Effect] = []
     for held_name in tuple(state.claims.held):
         outputs.extend(_reconcile_claim(state, snapshot, held_name, now_ms))
-    own_holder = validity.own_holder(state)
+    local_holder = validity.local_holder(state)
     for name, stored in snapshot.claims.items():
-        if stored.record.holder == own_holder and name not in state.claims.held:
+        if stored.record.holder == local_holder and name not in state.claims.held:
             state.claims.held[name] = new_claim(stored, now_ms)
     return outputs
 
@@ -185,7 +185,7 @@
             return [effects.Count(const.METRIC_CLAIMS, const.REASON_RELEASED)]
         validity.mark_record_ended(claim, now_ms)
         return []
-    if stored.record.holder != validity.own_holder(state):
+    if stored.record.holder != validity.local_holder(state):
         state.claims.held.pop(name)
         return [effects.Count(const.METRIC_CLAIMS, const.REASON_LOST)]
     claim.revision = stored.revision
@@ -197,7 +197,7 @@
     state: core_state.State, snapshot: models.Snapshot, name: str
 ) -> bool:
     former = snapshot.former_holders.get(name)
-    return former is not None and validity.own_holder(state) in former.holders
+    return former is not None and validity.local_holder(state) in former.holders
 
 
 def new_claim(stored: models.StoredClaim, now_ms: float) -> models.Claim:
--- a/rhubarbspar/components/claims/planning.py
+++ b/rhubarbspar/components/claims/planning.py
@@ -77,10 +77,10 @@
     claims = state.claims
     claims.registered_ms = now_ms
     claims.read_due_ms = min(claims.read_due_ms, now_ms + const.READ_RETRY_MS)
-    own_holder = validity.own_holder(state)
+    local_holder = validity.local_holder(state)
     put = effects.StorePut(
-        records.presence_key(own_holder.instance_id),
-        records.encode_claim(models.ClaimRecord(own_holder, claims.lease_id)),
+        records.presence_key(local_holder.instance_id),
+        records.encode_claim(models.ClaimRecord(local_holder, claims.lease_id)),
         claims.lease_id,
     )
     return [
@@ -123,8 +123,8 @@
     registered_ms = claims.registered_ms or 0
     if claims.stopping or (claims.snapshot_sent_ms <= registered_ms and not claims.held):
         return []
-    own_holder = validity.own_holder(state)
-    free = [name for name in preferred if _is_free(state, name, own_holder)]
+    local_holder = validity.local_holder(state)
+    free = [name for name in preferred if _is_free(state, name, local_holder)]
     free_since_ms = claims.free_since_ms
     claims.free_since_ms = {name: free_since_ms.get(name, now_ms) for name in free}
     names = [name for name in free if _should_take(state, name, preferred[name], now_ms)]
@@ -139,11 +139,11 @@
     """
     snapshot = state.claims.snapshot
     former = snapshot.former_holders.get(name) if snapshot else None
-    own_holder = validity.own_holder(state)
+    local_holder = validity.local_holder(state)
     holders = former.holders if former else ()
-    if own_holder in holders:
+    if local_holder in holders:
         return True
-    if preferred_id != own_holder.instance_id:
+    if preferred_id != local_holder.instance_id:
         return False
     has_waited = now_ms - state.claims.free_since_ms[name] >= const.FORMER_HOLDER_PRIORITY_MS
     return has_waited or not any(_is_running(state, holder, now_ms) for holder in holders)
@@ -157,7 +157,7 @@
     return membership_reducer.is_live(state, holder.instance_id, now_ms)
 
 
-def _is_free(state: core_state.State, name: str, own_holder: models.Holder) -> bool:
+def _is_free(state: core_state.State, name: str, local_holder: models.Holder) -> bool:
     """Return whether no instance holds a claim, or only this one through a lease that ended."""
     claims = state.claims
     held = claims.held.get(name)
@@ -167,7 +167,7 @@
         return False
     stored = claims.snapshot.claims.get(name) if claims.snapshot else None
     return stored is None or (
-        stored.record.holder == own_holder and stored.record.lease_id != claims.lease_id
+        stored.record.holder == local_holder and stored.record.lease_id != claims.lease_id
     )
 
 
--- a/rhubarbspar/components/claims/validity.py
+++ b/rhubarbspar/components/claims/validity.py
@@ -7,7 +7,7 @@
 from rhubarbspar.core import state as core_state
 
 
-def own_holder(state: core_state.State) -> models.Holder:
+def local_holder(state: core_state.State) -> models.Holder:
     """Return this instance with its incarnation, as it stands in claim records."""
     membership = state.membership
     return models.Holder(membership.own.instance_id, membership.incarnation)
--- a/rhubarbspar/components/claims/writes.py
+++ b/rhubarbspar/components/claims/writes.py
@@ -95,14 +95,15 @@
     """
     snapshot = state.claims.snapshot
     former = snapshot.former_holders.get(name) if snapshot else None
-    own_holder = validity.own_holder(state)
+    local_holder = validity.local_holder(state)
     if former is None:
         return ()
     is_server = name.startswith(const.PREFIX_SERVER)
     return tuple(
         holder
         for holder in former.holders
-        if holder != own_holder and not (is_server and holder.instance_id == own_holder.instance_id)
+        if holder != local_holder
+        and not (is_server and holder.instance_id == local_holder.instance_id)
     )
 
 
@@ -152,7 +153,7 @@
     state: core_state.State,
     holders: tuple[models.Holder, ...],
 ) -> models.ClaimRecord:
-    return models.ClaimRecord(validity.own_holder(state), state.claims.lease_id, holders)
+    return models.ClaimRecord(validity.local_holder(state), state.claims.lease_id, holders)
 
 
 def _put_claim(
@@ -174,8 +175,8 @@
     The takeover wait is longer than any former holder can use a share or the coordination of the
     moves, so that only backend servers list more holders than this instance.
     """
-    own_holder = validity.own_holder(state)
-    return (*holders, own_holder) if name.startswith(const.PREFIX_SERVER) else (own_holder,)
+    local_holder = validity.local_holder(state)
+    return (*holders, local_holder) if name.startswith(const.PREFIX_SERVER) else (local_holder,)
 
 
 def _apply(
@@ -222,7 +223,7 @@
 ) -> None:
     claims = state.claims
     holders = pending.unconfirmed[name]
-    record = models.ClaimRecord(validity.own_holder(state), pending.lease_id, holders)
+    record = models.ClaimRecord(validity.local_holder(state), pending.lease_id, holders)
     stored = models.StoredClaim(record, revision)
     if claims.snapshot is not None:
         claims.snapshot.claims[name] = stored
--- a/rhubarbspar/standins/network.py
+++ b/rhubarbspar/standins/network.py
@@ -142,7 +142,7 @@
         if self.faults.store_down_since_ms is None:
             self.faults.store_down_since_ms = self.now_ms
 
-    def heal(self) -> None:
+    def end_faults(self) -> None:
         """End all faults but pauses."""
         self.faults = Faults()
 
@@ -155,7 +155,7 @@
         nodes = self.nodes.items()
         return [name for name, node in nodes if node.paused_until_ms <= self.now_ms]
 
-    def feed(self, instance_id: str, event: events.Event) -> None:
+    def dispatch(self, instance_id: str, event: events.Event) -> None:
         """Give an event to an instance now and carry out the effects."""
         state = self.nodes[instance_id].state
         outputs = reducer.reduce(state, event, self.clock_of(instance_id))
@@ -204,7 +204,7 @@
         if self.nodes.get(node.instance_id) is not node:
             return
         if node.paused_until_ms <= self.now_ms:
-            self.feed(node.instance_id, events.Tick())
+            self.dispatch(node.instance_id, events.Tick())
         self.schedule(const.TICK_INTERVAL_MS, functools.partial(self._tick, node))
 
     def _transmit(self, sender_id: str, peer_id: str, action: Action) -> None:
@@ -222,7 +222,7 @@
 
     def _send(self, sender_id: str, peer_id: str, message: messages.Message) -> None:
         event = events.MessageReceived(sender_id, message)
-        self._transmit(sender_id, peer_id, functools.partial(self.feed, peer_id, event))
+        self._transmit(sender_id, peer_id, functools.partial(self.dispatch, peer_id, event))
 
     def _broadcast(self, sender_id: str, message: messages.Message) -> None:
         for peer_id in self.nodes:
@@ -249,8 +249,8 @@
             revision=self.store.revision if answered else 0,
             lease_id=result.lease_id if answered else None,
         )
-        feed = functools.partial(self.feed, instance_id, event)
-        answer = functools.partial(self._deliver, node, feed)
+        dispatch = functools.partial(self.dispatch, instance_id, event)
+        answer = functools.partial(self._deliver, node, dispatch)
         self.schedule(delay_ms if answered else max(0, wait_ms), answer)
 
     def _heartbeat(self, node: Node) -> None:
@@ -271,7 +271,7 @@
         """Deliver the list as it was one interval ago."""
         event = events.InstancesListed(self._listed)
         for instance_id, node in tuple(self.nodes.items()):
-            self._deliver(node, functools.partial(self.feed, instance_id, event))
+            self._deliver(node, functools.partial(self.dispatch, instance_id, event))
         self._listed = tuple(
             events.ListedInstance(name, self.domains[name], '', '', leaving=False)
             for name in self.nodes
--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -50,7 +50,7 @@
 
 def test_calm_run_answers_everything_once(run):
     """Guards against callers or servers that lose requests without a fault."""
-    least = measures.offer(run, 'calm', 0.5)
+    least = measures.measure_headroom(run, 'calm', 0.5)
     assert len(run.callers.calls) > 300
     assert all(call.answered for call in run.callers.calls)
     assert set(run.servers.executions.values()) == {1}
@@ -60,7 +60,7 @@
 
 def test_killed_instance_breaks_requests_that_callers_repeat(run):
     """Guards against a fault that no caller notices."""
-    measures.offer(run, 'instance_killed', 0.5)
+    measures.measure_headroom(run, 'instance_killed', 0.5)
     assert run.victim() not in run.fleet.nodes
     assert any(call.attempts > 1 for call in run.callers.calls)
     assert max(run.servers.executions.values()) == 1
@@ -73,13 +73,13 @@
     run.fleet.cut([domain], ['aktobe', 'almaty-1'])
     assert not wide_fleet.reachable(run.fleet, 'aktobe', domain)
     assert not wide_fleet.reachable(run.fleet, domain, 'almaty-1')
-    run.fleet.mend()
+    run.fleet.end_faults_and_cuts()
     assert wide_fleet.reachable(run.fleet, 'aktobe', domain)
 
 
 def test_drain_time_counts_from_the_operators_change(run):
     """Guards against a drain time of a server that was idle before the drain."""
-    measures.offer(run, 'server_drain', 0.5)
+    measures.measure_headroom(run, 'server_drain', 0.5)
     server = run.servers.servers[run.leaving_id]
     assert not server.busy
     assert server.received_ms < run.leaving_ms + 3_000
--- a/tests/components/claims/test_reducer.py
+++ b/tests/components/claims/test_reducer.py
@@ -130,7 +130,7 @@
     assert all_held(fleet)
     inject(fleet, kind, generator)
     run_checked(fleet, 25_000)
-    fleet.heal()
+    fleet.end_faults()
     run_checked(fleet, 30_000)
     assert all_held(fleet)
 
@@ -147,8 +147,8 @@
                 inject(fleet, kind, generator)
         run_checked(fleet, generator.uniform(500, 12_000))
         if generator.random() < 0.4:
-            fleet.heal()
-    fleet.heal()
+            fleet.end_faults()
+    fleet.end_faults()
     fleet.run(20_000)
     run_checked(fleet, 30_000)
     assert all_held(fleet)
@@ -331,7 +331,7 @@
     before = usable_shares(fleet)
     fleet.stop_store()
     run_checked(fleet, 30_000)
-    fleet.heal()
+    fleet.end_faults()
     run_checked(fleet, 4_000)
     assert usable_shares(fleet) == before
     assert sum(map(len, before.values())) == const.SHARE_COUNT
--- a/tests/components/limits/test_reducer.py
+++ b/tests/components/limits/test_reducer.py
@@ -111,7 +111,7 @@
                 inject(callers.fleet, kind, generator)
         run_checked(callers, generator.uniform(200, 7_000))
         if generator.random() < 0.6:
-            callers.fleet.heal()
+            callers.fleet.end_faults()
     callers.check_spending(RATES)
 
 
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -172,10 +172,10 @@
         self.write(dataclasses.replace(self.configuration, access_keys=keys))
         self.revoked_ms.pop(digest, None)
 
-    def feed(self, instance_id: str, event: events.Event) -> None:
+    def dispatch(self, instance_id: str, event: events.Event) -> None:
         if instance_id == self.traced_id:
             self.trace.append((self.clock_of(instance_id), event))
-        super().feed(instance_id, event)
+        super().dispatch(instance_id, event)
         current = self.nodes[instance_id].state.configuration.current
         revision = current.revision if current else 0
         if revision < self.revisions[instance_id]:
@@ -225,7 +225,7 @@
     def _give(self, instance_id: str, event: events.Event) -> None:
         node = self.nodes.get(instance_id)
         if node is not None:
-            action = functools.partial(self.feed, instance_id, event)
+            action = functools.partial(self.dispatch, instance_id, event)
             self.schedule(0, functools.partial(self._deliver, node, action))
 
     def _send(self, sender_id: str, peer_id: str, message: messages.Message) -> None:
@@ -244,7 +244,7 @@
         pair = frozenset((sender, peer))
         if self.connections.get(pair) == number and number not in self.silent:
             node = self.nodes[peer]
-            self._deliver(node, functools.partial(self.feed, peer, event))
+            self._deliver(node, functools.partial(self.dispatch, peer, event))
 
     def _notify(self, instance_id: str, tag: str) -> None:
         down = self.faults.store_down_since_ms is not None
@@ -364,7 +364,7 @@
         self, node: network.Node, attempt_id: str, outcome: models.Outcome, lost: bool
     ) -> None:
         event = events.AttemptFinished(attempt_id, outcome, 100, connection_lost=lost)
-        action = functools.partial(self.feed, node.instance_id, event)
+        action = functools.partial(self.dispatch, node.instance_id, event)
         self.schedule(1, functools.partial(self._deliver, node, action))
 
     def _exit(self, node: network.Node) -> None:
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -116,7 +116,7 @@
 
 def stop(fleet, name):
     """Stop an instance as planned and start it again."""
-    fleet.feed(name, events.StopRequested())
+    fleet.dispatch(name, events.StopRequested())
     fleet.restart.add(name)
 
 
@@ -207,7 +207,7 @@
         if name in fleet.nodes:
             fault(fleet, name)
     fleet.run(FAULT_MS)
-    fleet.heal()
+    fleet.end_faults()
     healed_ms = fleet.now_ms
     fleet.run(max(LONG.get(fault, RECOVERY_MS) for fault in faults))
     check_in_force(fleet, healed_ms)
@@ -290,7 +290,7 @@
         series = fleet.ask('GET', '/open', None)
         series.candidates = ('e2',)
         fleet.schedule(1_990, functools.partial(fleet._try, series))
-    fleet.feed('e2', events.StopRequested())
+    fleet.dispatch('e2', events.StopRequested())
     fleet.run(10_000)
     fleet.verify()
     assert fleet.exited == ['e2']
@@ -305,7 +305,7 @@
     fleet.load({('GET', '/open', None): 45})
     fleet.run(21_000)
     owners = [name for name in fleet.nodes if SHARED in fleet.nodes[name].state.routing.servers]
-    fleet.heal()
+    fleet.end_faults()
     finish(fleet)
     assert len(owners) == 2
 
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -133,7 +133,7 @@
         backend.fails = backend.version == 'v2'
     fleet.schedule(3_000, lambda: fleet.pause('e3', 2_500))
     fleet.schedule(4_000, lambda: fleet.cut({'e4'}))
-    fleet.schedule(7_000, fleet.heal)
+    fleet.schedule(7_000, fleet.end_faults)
     fleet.run(16_000, watch.check)
     fleet.verify()
     assert watch.verdict_ms is not None
--- a/tests/fleet/test_traces.py
+++ b/tests/fleet/test_traces.py
@@ -49,7 +49,7 @@
         series.key,
         fleet.clock_of(name) + 1_500,
     )
-    fleet.feed(name, events.RequestReceived(request))
+    fleet.dispatch(name, events.RequestReceived(request))
 
 
 def key_withdrawn_in_outage(fleet):
@@ -78,7 +78,7 @@
     (answer,) = reducer.reduce(node.state, lookup, fleet.clock_of('e3'))
     series.key = f'{answer.idempotency_key_prefix}.trace'
     send(fleet, series, 'e3', 5, 600)
-    fleet.schedule(300, functools.partial(fleet.feed, 'e3', events.StopRequested()))
+    fleet.schedule(300, functools.partial(fleet.dispatch, 'e3', events.StopRequested()))
     fleet.run(6_000)
 
 
