Keep the shares of accounts when the tree of a cut-off side is new

The sums of the new relays replaced those of the former ones, so the demand of the other side was forgotten at once and each side used nearly the whole rate: 120 to 145 admissions a second at a rate of 90. The estimate for silent peers covered only peers that report directly.

Where relays report sums, silent instances are no part of them any more. One rule covers silent children, lost relays and both sides of a cut; small fleets without relays keep their estimate for each peer.

--- a/rhubarbspar/gateway/buckets.py
+++ b/rhubarbspar/gateway/buckets.py
@@ -36,10 +36,14 @@
     start_share
         Share of rate and burst that an instance may use which has just started and does not know
         what the others have admitted; ``None`` later.
+    heard_share
+        Share of the demand of the fleet that the reports include. The demand at the instances that
+        are not heard is assumed to be as large as at the others, on average.
     """
 
     least_share: float
     start_share: float | None = None
+    heard_share: float = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -148,17 +152,18 @@
         elapsed_s = max(0.0, now_ms - self.refilled_ms) / package_const.MS_PER_S
         self.refilled_ms = now_ms
         self.local_demand_per_s = self.demand.rate_at(now_ms)
-        peer_demand_per_s = self._estimated_peer_demand()
-        demand_per_s = self.local_demand_per_s + peer_demand_per_s
+        reported_per_s = self._estimated_peer_demand()
+        demand_per_s = (self.local_demand_per_s + reported_per_s) / division.heard_share
         admitted_share = min(1.0, self.rate_per_s / max(1.0, demand_per_s))
         self.assumed_s += admitted_share * elapsed_s
-        silent_per_s = peer_demand_per_s - self.peer_demand_per_s
+        silent_per_s = reported_per_s - self.peer_demand_per_s
         self.peers_admitted += silent_per_s * admitted_share * elapsed_s
         self.children.admitted += self.children.silent_demand_per_s * admitted_share * elapsed_s
         if division.start_share is not None:
             self._refill_at_start(division.start_share, elapsed_s)
             return
-        added_tokens = (self.rate_per_s - peer_demand_per_s * admitted_share) * elapsed_s
+        elsewhere_per_s = (demand_per_s - self.local_demand_per_s) * admitted_share
+        added_tokens = (self.rate_per_s - elsewhere_per_s) * elapsed_s
         local_share = self.local_demand_per_s / demand_per_s if demand_per_s else 1
         share = max(division.least_share, local_share)
         capacity = max(1.0, self.burst * BURST_SHARE * share)
@@ -187,7 +192,7 @@
         Parameters
         ----------
         is_partitioned
-            Whether some peer speaks for instances whose heartbeats have stopped.
+            Whether the demand of some instances is only estimated.
         """
         if self.tokens < 1 and (is_partitioned or not self._fleet_has_tokens):
             return False
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -87,6 +87,8 @@
         Attempts of this instance that it is passing on.
     forwarded_ms, forward_failed_ms
         When it was last sent an attempt to pass on, and when it last failed to do so.
+    live_ms
+        When it was last known to be live.
     """
 
     member: models.Member
@@ -112,6 +114,7 @@
     forwards_running: int = 0
     forwarded_ms: float = -math.inf
     forward_failed_ms: float = -math.inf
+    live_ms: float = -math.inf
 
     def record_heartbeat(
         self, heartbeat: messages.Heartbeat, now_ms: float, *, was_live: bool
@@ -125,6 +128,7 @@
         """
         self.record_store_contact(heartbeat.store_reachable, now_ms, was_live=was_live)
         self.last_heartbeat_ms = now_ms
+        self.live_ms = now_ms
         self.failed_dials = 0
         self.relay_id = heartbeat.relay_id or self.member.instance_id
         if heartbeat.store_revision != self.store_revision:
@@ -278,6 +282,19 @@
         """Return the number of live instances, this one included."""
         return 1 + len(self.live_peers(now_ms))
 
+    def heard_share(self, now_ms: float) -> float:
+        """Return the share of live instances among those that may still admit requests.
+
+        Instances that were live lately may be cut off; one that was leaving has stopped.
+        """
+        silent_count = sum(
+            not (peer.leaving or peer.is_live(now_ms))
+            and now_ms - peer.live_ms <= const.PRESENT_TIMEOUT_MS
+            for peer in self.peers.values()
+        )
+        live_count = self.live_count(now_ms)
+        return live_count / (live_count + silent_count)
+
     def related_peers(self, relation: Relation) -> list[str]:
         """Return the ids of the connected peers with a relation."""
         return [
@@ -353,6 +370,7 @@
                 continue
             was_live = peer.is_live(now_ms)
             peer.reported_live_ms = now_ms
+            peer.live_ms = now_ms
             peer.leaving = peer_id in leaving_ids
             peer.links_lost = peer_id in links_lost_ids
             peer.record_store_contact(peer_id in follower_ids, now_ms, was_live=was_live)
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -158,7 +158,9 @@
 def _check_fleet(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Update the tree, the connections, the known sums and the duty to watch the store."""
     outputs = _update_relay(state, now_ms)
-    state.quotas.expire_peers(now_ms)
+    has_relays = not state.fleet.is_mesh
+    state.quotas.expire_peers(now_ms, has_relays=has_relays)
+    state.quotas.heard_share = state.fleet.heard_share(now_ms) if has_relays else 1
     if state.replica.revision:
         state.fleet.sizes.note_read(now_ms)
     size = state.fleet.size(now_ms)
--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -8,6 +8,8 @@
 - Every instance also estimates the bucket of the whole fleet. While that one holds enough
   tokens, a request is admitted without a local token.
 - The demand at a silent peer is assumed to grow in proportion to the local demand.
+- Where relays report sums, the silent instances are no part of them; the demand there is assumed to
+  be as large as at those that are heard, on average.
 """
 
 import dataclasses
@@ -117,6 +119,9 @@
         Whether the peers should learn of admitted requests before the next heartbeat is due.
     division
         How the limits are divided among the instances.
+    heard_share
+        Share of the instances, of those that may be running, that the sums of the relays include;
+        1 in a fleet without relays.
     """
 
     accounts: dict[str, buckets.Bucket] = dataclasses.field(default_factory=dict)
@@ -125,6 +130,7 @@
     last_sums_id: int = 0
     is_urgent: bool = False
     division: buckets.Division = buckets.Division(GUARANTEED_SHARE_MAX)
+    heard_share: float = 1
 
     def divide_among(self, size: fleet_size.FleetSize) -> None:
         """Divide the limits of the accounts by the number of instances."""
@@ -132,7 +138,7 @@
         start_share = None
         if size.known_for_ms < START_MS:
             start_share = min(1.0, START_EQUAL_PARTS / size.instances)
-        self.division = buckets.Division(least_share, start_share)
+        self.division = buckets.Division(least_share, start_share, self.heard_share)
 
     def admit(self, account: models.ClientAccount, now_ms: float) -> float | None:
         """Take a token for a request of an account.
@@ -151,7 +157,7 @@
         bucket.start(now_ms, self.division)
         bucket.demand.record(now_ms)
         bucket.refill(now_ms, self.division)
-        if bucket.try_acquire(is_partitioned=self.is_partial):
+        if bucket.try_acquire(is_partitioned=self.is_partial or self.heard_share < 1):
             self._check_urgency(bucket)
             return None
         missing = 1 - bucket.tokens
@@ -255,11 +261,19 @@
             if peer_id not in kept_ids:
                 self.forget_peer(peer_id, now_ms)
 
-    def expire_peers(self, now_ms: float) -> None:
-        """Mark peers without recent heartbeats as silent, and forget those that stay silent."""
+    def expire_peers(self, now_ms: float, *, has_relays: bool = False) -> None:
+        """Mark peers without recent heartbeats as silent, and forget those that stay silent.
+
+        Parameters
+        ----------
+        has_relays
+            Whether relays report sums; then ``heard_share`` covers the silent peers at once.
+        """
         for peer_id, peer in tuple(self.peers.items()):
             silent_ms = now_ms - peer.last_heartbeat_ms
-            if silent_ms > SILENT_MS and not peer.silent:
+            if has_relays and silent_ms > SILENT_MS:
+                self.forget_peer(peer_id, now_ms)
+            elif silent_ms > SILENT_MS and not peer.silent:
                 peer.silent = True
                 for account_id, use in peer.uses.items():
                     bucket = self._refilled_bucket(account_id, now_ms)
--- a/tests/gateway/test_tree.py
+++ b/tests/gateway/test_tree.py
@@ -254,6 +254,17 @@
     assert most_in_window(admitted_ms) <= ACCOUNT_MAX
 
 
+@pytest.mark.parametrize('seed', range(3))
+def test_account_stays_limited_when_instances_of_all_domains_are_cut_off(seed):
+    """Guards against a cut-off side whose new relays take its sums for those of the whole fleet."""
+    network = make_network(seed=seed)
+    admitted_ms = send_requests(network, 6000, 0.6 * ACCOUNT.rate_per_s)
+    network.cut(sorted(network.instances)[::3])
+    admitted_ms += send_requests(network, 4300, 0.6 * ACCOUNT.rate_per_s)
+    admitted_ms += send_requests(network, 7000, 4 * ACCOUNT.rate_per_s)
+    assert most_in_window(admitted_ms) <= ACCOUNT_MAX
+
+
 def test_account_is_admitted_again_after_a_relay_has_failed(network):
     """Guards against demand that is counted at a failed relay and at the one that replaced it."""
     send_requests(network, 4000, 0.6 * ACCOUNT.rate_per_s)
