--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -282,19 +282,6 @@
         """Return the number of live instances, this one included."""
         return 1 + len(self.live_peers(now_ms))
 
-    def heard_share(self, now_ms: float) -> float:
-        """Return the share of live instances among those that may still admit requests.
-
-        Instances that were live lately may be cut off; one that was leaving has stopped.
-        """
-        silent_count = sum(
-            not (peer.leaving or peer.is_live(now_ms))
-            and now_ms - peer.live_ms <= const.PRESENT_TIMEOUT_MS
-            for peer in self.peers.values()
-        )
-        live_count = self.live_count(now_ms)
-        return live_count / (live_count + silent_count)
-
     def related_peers(self, relation: Relation) -> list[str]:
         """Return the ids of the connected peers with a relation."""
         return [
@@ -417,3 +404,17 @@
             return True
         same_domain = peer.member.failure_domain == reporter.member.failure_domain
         return reporter.relation == Relation.RELAY and same_domain
+
+
+def heard_share(fleet: Fleet, now_ms: float) -> float:
+    """Return the share of live instances among those that may still admit requests.
+
+    Instances that were live lately may be cut off; one that was leaving has stopped.
+    """
+    silent_count = sum(
+        not (peer.leaving or peer.is_live(now_ms))
+        and now_ms - peer.live_ms <= const.PRESENT_TIMEOUT_MS
+        for peer in fleet.peers.values()
+    )
+    live_count = fleet.live_count(now_ms)
+    return live_count / (live_count + silent_count)
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -160,7 +160,7 @@
     outputs = _update_relay(state, now_ms)
     has_relays = not state.fleet.is_mesh
     state.quotas.expire_peers(now_ms, has_relays=has_relays)
-    state.quotas.heard_share = state.fleet.heard_share(now_ms) if has_relays else 1
+    state.quotas.heard_share = fleet.heard_share(state.fleet, now_ms) if has_relays else 1
     if state.replica.revision:
         state.fleet.sizes.note_read(now_ms)
     size = state.fleet.size(now_ms)
@@ -319,7 +319,7 @@
         tuple(sorted(state.rollouts.verdicts, key=repr)),
         state.fleet.relay_id,
         state.quotas.series_of(child_id) if child_id else 0,
-        state.quotas.has_silent_peers if child_id else False,
+        state.quotas.is_partial if child_id else False,
         _ids(peer for peer in reported if not peer.is_live(now_ms)),
         _ids(peer for peer in live if peer.leaving),
         _ids(peer for peer in live if peer.store_reachable),
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -110,7 +110,7 @@
     sums_id
         Number of the series of sums for the receiver; differences between two series mean nothing.
     is_partial
-        Whether the sums include estimates for instances whose heartbeats have stopped.
+        Whether the sums leave out, or only estimate, instances that are not heard.
     absent_ids, leaving_ids, follower_ids
         Instances of the sender's failure domain, or of the whole fleet for a child, that are not
         live, that are leaving, and that watch the store.
--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -77,7 +77,7 @@
     silent
         Whether there was no heartbeat of the peer for ``SILENT_MS``.
     is_partial
-        Whether its sums include estimates for instances whose heartbeats have stopped.
+        Whether its sums leave out, or only estimate, instances that are not heard.
     """
 
     series: tuple[str, int]
@@ -157,7 +157,7 @@
         bucket.start(now_ms, self.division)
         bucket.demand.record(now_ms)
         bucket.refill(now_ms, self.division)
-        if bucket.try_acquire(is_partitioned=self.is_partial or self.heard_share < 1):
+        if bucket.try_acquire(is_partitioned=self.is_partial):
             self._check_urgency(bucket)
             return None
         missing = 1 - bucket.tokens
@@ -165,13 +165,8 @@
 
     @property
     def is_partial(self) -> bool:
-        """Return whether some peer speaks for instances whose heartbeats have stopped."""
-        return any(peer.is_partial for peer in self.peers.values())
-
-    @property
-    def has_silent_peers(self) -> bool:
-        """Return whether the sums include estimates for instances that are not heard."""
-        return any(peer.is_partial or peer.silent for peer in self.peers.values())
+        """Return whether the sums leave out, or only estimate, instances that are not heard."""
+        return self.heard_share < 1 or any(peer.is_partial for peer in self.peers.values())
 
     def report(self, now_ms: float) -> tuple[messages.AccountUsage, ...]:
         """Return the sums of every account at this instance and its children."""
@@ -269,18 +264,13 @@
         has_relays
             Whether relays report sums; then ``heard_share`` covers the silent peers at once.
         """
+        kept_ms = SILENT_MS if has_relays else PEER_KEPT_MS
         for peer_id, peer in tuple(self.peers.items()):
             silent_ms = now_ms - peer.last_heartbeat_ms
-            if has_relays and silent_ms > SILENT_MS:
+            if silent_ms > kept_ms:
                 self.forget_peer(peer_id, now_ms)
             elif silent_ms > SILENT_MS and not peer.silent:
-                peer.silent = True
-                for account_id, use in peer.uses.items():
-                    bucket = self._refilled_bucket(account_id, now_ms)
-                    bucket.mark_silent(use.demand_per_s, is_child=peer.is_child)
-                    use.silent_from_s = bucket.assumed_s
-            if silent_ms > PEER_KEPT_MS:
-                self.forget_peer(peer_id, now_ms)
+                self._mark_silent(peer, now_ms)
 
     def forget_peer(self, peer_id: str, now_ms: float) -> None:
         """Remove a peer and its demand."""
@@ -296,6 +286,14 @@
             else:
                 bucket.peer_demand_per_s = max(0.0, bucket.peer_demand_per_s - use.demand_per_s)
 
+    def _mark_silent(self, peer: _Peer, now_ms: float) -> None:
+        """Estimate the demand at a peer from now on."""
+        peer.silent = True
+        for account_id, use in peer.uses.items():
+            bucket = self._refilled_bucket(account_id, now_ms)
+            bucket.mark_silent(use.demand_per_s, is_child=peer.is_child)
+            use.silent_from_s = bucket.assumed_s
+
     def _refresh_peer(
         self, peer_id: str, series: tuple[str, int], now_ms: float, *, is_child: bool
     ) -> _Peer:
