Give up responses of unknown size that starve others of memory

Callers saw 504 at their deadline, and 503 for bodies of 300 KB, while two servers sent bodies without end and others could have answered. A response without a length holds what has arrived while it waits for more, so two of them waited for each other, and every larger message for both. One that came within 64 KiB of the largest size waited for its own read-ahead.

While a message waits for memory, the budget now gives up the largest response of unknown size if it is beyond its max-min fair part. It counts as malformed: the request goes to another server if it may run again and gets 502 otherwise. The reason is in the line attempt_failed, the retry in the counter of retries. Responses of known size reserve everything at once and are never given up.

test_bodies_of_servers_share_one_budget expected two bodies without length to wait for each other, which is the fault; its case without a length is replaced by test_bodies_without_length_do_not_wait_for_each_other, which checks the bound at every step.

--- a/rhubarbspar/http1/client.py
+++ b/rhubarbspar/http1/client.py
@@ -260,17 +260,25 @@
     def _check_size(self) -> None:
         """Fail a response that is too large; stop reading until the next part of it fits."""
         partial = self._partial
-        error = _find_excess(partial, self._pool.budget.message_max_bytes)
+        body_max_bytes = self._pool.budget.message_max_bytes
+        error = _find_excess(partial, body_max_bytes)
         if error is not None:
             self._fail(error)
             return
-        expected_bytes = len(partial.body) + const.READ_AHEAD_BYTES
-        if partial.announced_bytes is not None:
-            expected_bytes = partial.announced_bytes
+        if partial.is_open_ended:
+            self._share.mark_open_ended(self._give_up)
+        expected_bytes = partial.announced_bytes
+        if expected_bytes is None:
+            # A body that fits exactly is not to wait for the read-ahead behind its end.
+            expected_bytes = int(min(len(partial.body) + const.READ_AHEAD_BYTES, body_max_bytes))
         transport: typing.Any = self.transport
         if not self._share.reserve(expected_bytes, transport.resumeProducing):
             transport.pauseProducing()
 
+    def _give_up(self) -> None:
+        """Fail a response of unknown size whose memory others wait for."""
+        self._fail(errors.MalformedError('the body has no length and others need the memory'))
+
     def _complete(self) -> None:
         call = self._call
         if call is None:
@@ -375,6 +383,11 @@
     headers: list[messages.Header] = dataclasses.field(default_factory=list)
     body: bodies.BlockBuffer = dataclasses.field(default_factory=bodies.BlockBuffer)
 
+    @property
+    def is_open_ended(self) -> bool:
+        """Return whether the head is complete and does not tell the size of the body."""
+        return self.status >= const.STATUS_OK and self.announced_bytes is None
+
 
 def _find_excess(partial: _PartialResponse, body_max_bytes: float) -> errors.MalformedError | None:
     """Return the error of a response that exceeds a limit."""
--- a/rhubarbspar/http1/memory.py
+++ b/rhubarbspar/http1/memory.py
@@ -3,6 +3,10 @@
 Pattern: admission by reservation, with backpressure. A connection reads on once it has reserved what
 it is about to hold. A part of the budget is left to small messages, so that large ones wait for each
 other only.
+
+A message of unknown size holds memory while it waits for more, so two of them could wait for each other
+until their deadlines. While another message waits, one that is beyond its fair part (max-min fairness)
+is given up.
 """
 
 import dataclasses
@@ -32,6 +36,8 @@
         self.held_bytes = 0
         self._large_bytes = 0
         self._waiting: dict[Share, _Waiting] = {}
+        self._shares: set[Share] = set()
+        self._open_ended: dict[Share, abc.Callable[[], None]] = {}
 
     @property
     def message_max_bytes(self) -> float:
@@ -58,16 +64,48 @@
         self.held_bytes += size_bytes - share.size_bytes
         self._large_bytes += _large_part(size_bytes) - _large_part(share.size_bytes)
         share.size_bytes = size_bytes
+        if size_bytes:
+            self._shares.add(share)
+        else:
+            self._shares.discard(share)
         if released and self._waiting:
             self._serve_waiting()
 
-    def wait(self, share: 'Share', size_bytes: int, resume: abc.Callable[[], None]) -> None:
-        """Call ``resume`` once a share has grown to a size."""
+    def wait(self, share: 'Share', size_bytes: int, resume: abc.Callable[[], None]) -> bool:
+        """Call ``resume`` once a share has grown to a size; return whether that was at once."""
         self._waiting[share] = _Waiting(size_bytes, resume)
+        self.reclaim()
+        return share not in self._waiting
 
-    def stop_waiting(self, share: 'Share') -> None:
-        """Forget that a share waits."""
+    def forget(self, share: 'Share') -> None:
+        """Remove a share from those that wait or may be given up."""
         self._waiting.pop(share, None)
+        self._open_ended.pop(share, None)
+
+    def mark_open_ended(self, share: 'Share', give_up: abc.Callable[[], None]) -> None:
+        """Note that the final size of a share is unknown; ``give_up`` ends its message."""
+        self._open_ended[share] = give_up
+
+    def reclaim(self) -> None:
+        """While a share waits, give up those of unknown size that are beyond their fair part."""
+        while self._waiting and self._open_ended:
+            largest = max(self._open_ended, key=self._wanted_bytes)
+            if not self._is_beyond_fair_part(largest):
+                return
+            self._open_ended.pop(largest)()
+
+    def _is_beyond_fair_part(self, share: 'Share') -> bool:
+        """Return whether the shares would not fit if each had at most as much as this one."""
+        bound_bytes = self._wanted_bytes(share)
+        sizes = [self._wanted_bytes(other) for other in self._shares | self._waiting.keys()]
+        bounded_bytes = sum(min(size, bound_bytes) for size in sizes)
+        large_bytes = sum(min(size, bound_bytes) for size in sizes if size > SMALL_MAX_BYTES)
+        return bounded_bytes > self.limit_bytes or large_bytes > self.message_max_bytes
+
+    def _wanted_bytes(self, share: 'Share') -> int:
+        """Return the size that a share has, or waits for."""
+        waiting = self._waiting.get(share)
+        return share.size_bytes if waiting is None else waiting.size_bytes
 
     def _serve_waiting(self) -> None:
         for share, waiting in tuple(self._waiting.items()):
@@ -117,13 +155,20 @@
             return True
         if self.budget.fits(self, size_bytes):
             self.budget.resize(self, size_bytes)
+            self.budget.reclaim()
             return True
-        self.budget.wait(self, size_bytes, resume)
-        return False
+        return self.budget.wait(self, size_bytes, resume)
+
+    def mark_open_ended(self, give_up: abc.Callable[[], None]) -> None:
+        """Let ``give_up`` end the message, whose size is unknown, when others lack the memory.
+
+        It is called once at most, while any message reserves memory, and has to release this share.
+        """
+        self.budget.mark_open_ended(self, give_up)
 
     def release(self) -> None:
         """Hold nothing and wait for nothing."""
-        self.budget.stop_waiting(self)
+        self.budget.forget(self)
         if self.size_bytes:
             self.budget.resize(self, 0)
 
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -151,11 +151,11 @@
         record = {**CONFIGURATION, 'version': f'r{version}', 'routes': routes}
         self.store.put('op/config', json.dumps(record).encode())
 
-    def declare(self, state, sequence, server_id='s-1'):
-        """Register the backend server in a state, under an id."""
+    def declare(self, state, sequence, server_id='s-1', port=None):
+        """Register the backend server, or another one at a port, in a state and under an id."""
         record = {
             'service': 'stock',
-            'address': f'127.0.0.1:{self.server_port}',
+            'address': f'127.0.0.1:{port or self.server_port}',
             'zone': 'almaty-a',
             'version': 'v1',
             'slots': 3,
@@ -168,12 +168,13 @@
         """Send a GET request to an address of the first gateway and return the response."""
         return await self.call_address(self.addresses[address_name], path, key)
 
-    async def call_address(self, address, path, key='key-1'):
-        """Send a GET request to an address and return the response."""
+    async def call_address(self, address, path, key='key-1', body=b''):
+        """Send a GET request, or a POST with a body, to an address and return the response."""
         host, _, port = address.rpartition(':')
         headers = ((b'host', b'shop.example'), (b'authorization', f'Bearer {key}'.encode()))
         finished = defer.Deferred()
-        call = client.Call(messages.Request(b'GET', path, headers), finished.callback)
+        request = messages.Request(b'POST' if body else b'GET', path, headers, body)
+        call = client.Call(request, finished.callback)
         pool = client.Pool(self.loop.reactor, client.Endpoint(host, int(port)), lambda: 0.0, 1000)
         pool.start(call, 1000)
         outcome = await finished
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -219,25 +219,76 @@
     assert not opened.budget.held_bytes
 
 
-@pytest.mark.parametrize('framing', [b'', b'Content-Length: 3000000\r\n'])
-def test_bodies_of_servers_share_one_budget(opened, framing):
+def deliver_in_turn(opened, part, count):
+    """Deliver a part of a body on each connection that reads, a number of times."""
+    for _ in range(count):
+        for connection in opened.connections:
+            if (
+                connection.transport.producerState == 'producing'
+                and not connection.transport.aborted
+            ):
+                connection.dataReceived(part)
+                assert opened.budget.held_bytes <= BUDGET_BYTES
+
+
+def test_bodies_of_servers_share_one_budget(opened):
     """Guards against bodies that together take the process over its memory."""
     calls = [opened.start(), opened.start()]
-    _, second = opened.connections
+    first, second = opened.connections
     for connection in opened.connections:
-        connection.dataReceived(STATUS_LINE + framing + b'\r\n')
-    for _ in range(40):
-        for connection in opened.connections:
-            if connection.transport.producerState == 'producing':
-                connection.dataReceived(bytes(60_000))
-    assert opened.budget.held_bytes <= BUDGET_BYTES
-    assert second.transport.producerState == 'paused'
+        connection.dataReceived(STATUS_LINE + b'Content-Length: 3000000\r\n\r\n')
+    deliver_in_turn(opened, bytes(60_000), 40)
+    assert (first.transport.producerState, second.transport.producerState) == (
+        'producing',
+        'paused',
+    )
+    assert not opened.outcomes
     calls[0].cancel()
     assert second.transport.producerState == 'producing'
     calls[1].cancel()
     assert not opened.budget.held_bytes
 
 
+CHUNK = b'ea60\r\n' + bytes(60_000) + b'\r\n'
+
+
+@pytest.mark.parametrize(
+    ('framing', 'part'),
+    [(b'', bytes(60_000)), (b'Transfer-Encoding: chunked\r\n', CHUNK)],
+    ids=['until the end of the connection', 'chunked'],
+)
+def test_bodies_without_length_do_not_wait_for_each_other(opened, framing, part):
+    """Guards against bodies without end that wait for each other, and others for both of them."""
+    opened.start()
+    opened.start()
+    for connection in opened.connections:
+        connection.dataReceived(STATUS_LINE + framing + b'\r\n')
+    deliver_in_turn(opened, part, 40)
+    (outcome,) = opened.outcomes
+    assert isinstance(outcome, errors.MalformedError)
+    (rest,) = [each for each in opened.connections if not each.transport.aborted]
+    assert rest.transport.producerState == 'producing'
+    opened.start()
+    opened.connections[2].dataReceived(STATUS_LINE + b'Content-Length: 2000000\r\n\r\n')
+    assert rest.transport.aborted
+    assert opened.connections[2].transport.producerState == 'producing'
+
+
+@pytest.mark.parametrize('size_bytes', [3_599_999, 3_600_000, 3_600_001])
+def test_body_without_length_may_use_all_memory_that_is_free(opened, size_bytes):
+    """Guards against a sound answer that is refused, or waits, although no other one lacks memory."""
+    opened.start()
+    (connection,) = opened.connections
+    connection.dataReceived(STATUS_LINE + b'\r\n')
+    for sent_bytes in range(0, size_bytes, 60_000):
+        if not opened.outcomes:
+            assert connection.transport.producerState == 'producing'
+            connection.dataReceived(bytes(min(60_000, size_bytes - sent_bytes)))
+    connection.connectionLost(failure.Failure(error.ConnectionDone()))
+    (outcome,) = opened.outcomes
+    assert isinstance(outcome, messages.Response) == (size_bytes <= opened.budget.message_max_bytes)
+
+
 def test_announced_body_that_never_fits_is_malformed(opened):
     """Guards against reading a body that cannot be held."""
     opened.start()
--- a/tests/http1/test_memory.py
+++ b/tests/http1/test_memory.py
@@ -1,6 +1,8 @@
 """Tests of the budget of what connections hold in memory."""
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from rhubarbspar.http1 import memory
 
@@ -61,3 +63,102 @@
     arrived.hold(LIMIT_BYTES + 1)
     assert budget.held_bytes == LIMIT_BYTES + 1
     assert not memory.Share(budget).reserve(1, lambda: None)
+
+
+class Message:
+    """A message whose size is announced, or grows as it arrives."""
+
+    def __init__(self, budget):
+        """Hold nothing yet."""
+        self.share = memory.Share(budget)
+        self.is_waiting = False
+        self.is_given_up = False
+
+    def reserve(self, size_bytes):
+        """Grow, or wait until that is possible."""
+        self.is_waiting = not self.share.reserve(size_bytes, self._resume) and not self.is_given_up
+
+    def grow(self, size_bytes):
+        """Grow by a part of a body without a length."""
+        self.share.mark_open_ended(self._give_up)
+        self.reserve(self.share.size_bytes + size_bytes)
+
+    def end(self):
+        """Release what is held."""
+        self.is_waiting = False
+        self.share.release()
+
+    def _resume(self):
+        self.is_waiting = False
+
+    def _give_up(self):
+        self.is_given_up = True
+        self.end()
+
+
+STEPS = strategies.tuples(
+    strategies.sampled_from(('announced', 'growing', 'end')),
+    strategies.integers(0, 5),
+    strategies.integers(1, 9_000_000),
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(strategies.lists(STEPS, max_size=40))
+def test_waiting_messages_are_served_in_the_end(steps):
+    """Guards against messages that hold memory and wait for each other."""
+    budget = memory.MemoryBudget(LIMIT_BYTES)
+    slots = {}
+    for kind, slot, size_bytes in steps:
+        message = slots.setdefault(slot, Message(budget))
+        if message.is_waiting:
+            continue
+        if kind == 'growing' and message.share.size_bytes + size_bytes < budget.message_max_bytes:
+            message.grow(size_bytes)
+        elif kind == 'announced' and not message.share.size_bytes:
+            message.reserve(size_bytes)
+        elif kind == 'end' or message.is_given_up:
+            slots.pop(slot).end()
+        assert budget.held_bytes <= LIMIT_BYTES
+        assert budget.held_bytes == sum(each.share.size_bytes for each in slots.values())
+    for _ in tuple(slots):
+        served = [slot for slot, message in slots.items() if not message.is_waiting]
+        assert served or not slots
+        for slot in served:
+            slots.pop(slot).end()
+    assert not (slots or budget.held_bytes or budget.is_short)
+
+
+@pytest.mark.parametrize(
+    ('growing_kb', 'held_kb', 'wanted_kb', 'is_given_up'),
+    [
+        (8900, 0, 100, False),
+        (8500, 0, 300, False),
+        (8900, 0, 300, True),
+        (4300, 4600, 300, False),
+        (4400, 4500, 300, True),
+        (2900, 6000, 5000, False),
+        (3100, 5800, 5000, True),
+    ],
+)
+def test_message_of_unknown_size_is_given_up_beyond_its_part_only(
+    budget, growing_kb, held_kb, wanted_kb, is_given_up
+):
+    """Guards against large messages without a length that starve others, or are lost needlessly."""
+    growing, held, wanted = Message(budget), Message(budget), Message(budget)
+    growing.grow(growing_kb * 1000)
+    held.reserve(held_kb * 1000)
+    wanted.reserve(wanted_kb * 1000)
+    assert growing.is_given_up == is_given_up
+    assert not (growing.is_waiting or held.is_waiting or held.is_given_up)
+
+
+@pytest.mark.parametrize('sizes', [(6_000_000, 6_000_000), (9_000_000, 4_000_000)])
+def test_messages_of_known_size_are_never_given_up(budget, sizes):
+    """Guards against an answer that is lost because another one is large as well."""
+    first, second = Message(budget), Message(budget)
+    first.reserve(sizes[0])
+    second.reserve(sizes[1])
+    assert second.is_waiting
+    first.end()
+    assert (second.is_waiting, budget.held_bytes) == (False, sizes[1])
