Bound the responses to other requests that a call skips

Callers saw 504 at their deadline while a server sent responses that named another request, one after the other: each of them was skipped, without a bound.

A call now skips up to eight of them, with bodies of one response in total; after that it ends as malformed, its connection closes and the request goes to another server if it may run again (502 otherwise). What a skipped response held in memory is released at once. A HEAD request took what followed a skipped head with a length for the body of that response, so it ended at its deadline too; it is malformed now. Interim responses were bounded already, by the 64 KiB of a head; a case over sockets shows it.

--- a/rhubarbspar/http1/client.py
+++ b/rhubarbspar/http1/client.py
@@ -42,8 +42,8 @@
         Receives the response or an error.
     expected_echo
         Header that the response must repeat with this value. A response with another value belongs
-        to an earlier request and is skipped. One without the header may belong to any request, so
-        it ends the call as malformed.
+        to an earlier request and is skipped, up to ``SKIPPED_RESPONSES_MAX`` of them. More of them
+        end the call as malformed, and so does one without the header: it may belong to any request.
     """
 
     def __init__(
@@ -211,6 +211,9 @@
             return
         if self._partial.is_head_only:
             self._complete()
+            if self._call is not None:
+                # The parser takes what follows for the body that the head announces.
+                self._fail(errors.MalformedError('the response to HEAD names another request'))
         else:
             self._check_size()
 
@@ -230,7 +233,8 @@
 
     def on_message_begin(self) -> None:
         """Begin a response, discarding an interim one (1xx)."""
-        self._partial = _PartialResponse(unframed_bytes=self._partial.unframed_bytes)
+        last = self._partial
+        self._partial = _PartialResponse(unframed_bytes=last.unframed_bytes, skipped=last.skipped)
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store a header with its name in lower case."""
@@ -291,9 +295,7 @@
             self._fail(errors.MalformedError('the response names no request'))
             return
         if found_echo != call.expected_echo:
-            self._partial = _PartialResponse()
-            if self._closed:
-                self._fail(errors.BrokenError('the response belongs to another request'))
+            self._skip(partial)
             return
         self._call = None
         # A server that answers before it has read the whole request may leave the rest unread.
@@ -307,6 +309,20 @@
         call.finish(messages.Response(partial.status, tuple(partial.headers), body))
         self._share.release()
 
+    def _skip(self, partial: '_PartialResponse') -> None:
+        """Drop a response to another request; fail if the connection ends with it or sends many."""
+        skipped = partial.skipped
+        skipped.count += 1
+        skipped.body_bytes += len(partial.body)
+        self._partial = _PartialResponse(skipped=skipped)
+        self._share.release()
+        if self._closed:
+            self._fail(errors.BrokenError('the response belongs to another request'))
+        elif skipped.count > const.SKIPPED_RESPONSES_MAX:
+            self._fail(errors.MalformedError('too many responses belong to other requests'))
+        elif skipped.body_bytes > const.RESPONSE_MAX_BYTES:
+            self._fail(errors.MalformedError('the responses to other requests are too large'))
+
     def _keep_idle(self, headers: list[messages.Header]) -> None:
         keep_alive = messages.find_header(headers, b'keep-alive')
         if keep_alive is not None:
@@ -361,6 +377,14 @@
         self._call.finish(errors.ConnectError(reason.getErrorMessage()))
 
 
+@dataclasses.dataclass(slots=True)
+class _SkippedResponses:
+    """Responses to other requests that came before the one to the call."""
+
+    count: int = 0
+    body_bytes: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class _PartialResponse:
     """A partially received response.
@@ -380,6 +404,7 @@
     is_head_only: bool = False
     unframed_bytes: int = 0
     ends_with_connection: bool = False
+    skipped: _SkippedResponses = dataclasses.field(default_factory=_SkippedResponses)
     headers: list[messages.Header] = dataclasses.field(default_factory=list)
     body: bodies.BlockBuffer = dataclasses.field(default_factory=bodies.BlockBuffer)
 
--- a/rhubarbspar/http1/const.py
+++ b/rhubarbspar/http1/const.py
@@ -17,6 +17,10 @@
 RESPONSE_HEAD_MAX_BYTES: typing.Final = 65_536
 RESPONSE_HEADERS_MAX: typing.Final = 256
 
+# Responses to earlier requests that are skipped before the one that is expected; one is usual, from a
+# server that has sent a response twice. Their bodies are bounded by the size of one response.
+SKIPPED_RESPONSES_MAX: typing.Final = 8
+
 # A body of unknown length is read this far beyond what has arrived.
 READ_AHEAD_BYTES: typing.Final = 65_536
 
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -24,6 +24,7 @@
     'services': {'columns': ['name'], 'rows': [['stock']]},
     'tenants': {'columns': ['name', 'apiKeys'], 'rows': [['workshop', ['key-1']]]},
 }
+ATTEMPT_ID = b'x-rhubarbspar-attempt-id'
 SERVER_HEADERS = ((b'x-seal', b'1'), (b'x-rhubarbspar-server-load', b'1,0,3'))
 
 
@@ -168,12 +169,13 @@
         """Send a GET request to an address of the first gateway and return the response."""
         return await self.call_address(self.addresses[address_name], path, key)
 
-    async def call_address(self, address, path, key='key-1', body=b''):
+    async def call_address(self, address, path, key='key-1', body=b'', more_headers=()):
         """Send a GET request, or a POST with a body, to an address and return the response."""
         host, _, port = address.rpartition(':')
         headers = ((b'host', b'shop.example'), (b'authorization', f'Bearer {key}'.encode()))
         finished = defer.Deferred()
-        request = messages.Request(b'POST' if body else b'GET', path, headers, body)
+        method = b'POST' if body else b'GET'
+        request = messages.Request(method, path, (*headers, *more_headers), body)
         call = client.Call(request, finished.callback)
         pool = client.Pool(self.loop.reactor, client.Endpoint(host, int(port)), lambda: 0.0, 1000)
         pool.start(call, 1000)
@@ -196,5 +198,7 @@
 
     def _serve(self, exchange):
         self.received.append(exchange.request)
-        response = messages.Response(self.server_status, self.server_headers, b'in stock')
+        attempt_id = [each for each in exchange.request.headers if each[0] == ATTEMPT_ID]
+        headers = (*self.server_headers, *attempt_id)
+        response = messages.Response(self.server_status, headers, b'in stock')
         exchange.respond(response)
--- a/tests/gateway/test_endless_servers.py
+++ b/tests/gateway/test_endless_servers.py
@@ -14,7 +14,8 @@
 # So long that no request waits for its deadline unnoticed.
 TIMEOUT = '20s'
 ROUNDS_MAX = 10
-OK = b'HTTP/1.1 200 OK\r\n'
+CALLER_HEADERS = ((gateway_deployment.ATTEMPT_ID, b'1'),)
+ANSWER = b'HTTP/1.1 200 OK\r\nX-Rhubarbspar-Attempt-Id: 1\r\n'
 
 
 class EndlessServer(protocol.Factory):
@@ -90,10 +91,11 @@
         deployment.declare('ready', 1, f's-{server.port}', server.port)
     await deployment.loop.until(lambda: state.declared.configuration.version == 2)
     await deployment.loop.until(lambda: len(state.servers.views) == 3)
+    address = deployment.addresses['front']
     statuses = []
     for _ in range(ROUNDS_MAX):
         calls = [
-            deployment.call_address(deployment.addresses['front'], b'/stock/7', body=body)
+            deployment.call_address(address, b'/stock/7', 'key-1', body, CALLER_HEADERS)
             for body in (b'', CALLER_BODY) * 4
         ]
         outcomes = await defer.gatherResults([defer.ensureDeferred(call) for call in calls])
@@ -103,20 +105,22 @@
     return pytest.fail('a server got no request')
 
 
-ENDLESS_BODIES = pytest.mark.parametrize(
+OTHER = ANSWER.replace(b'1\r\n', b'2\r\n') + b'Content-Length: 2\r\n\r\nhi'
+
+
+@pytest.mark.parametrize(
     ('head', 'part'),
     [
-        (OK + b'\r\n', bytes(65_536)),
-        (OK + b'Transfer-Encoding: chunked\r\n\r\n', b'10000\r\n' + bytes(65_536) + b'\r\n'),
+        (ANSWER + b'\r\n', bytes(65_536)),
+        (ANSWER + b'Transfer-Encoding: chunked\r\n\r\n', b'10000\r\n' + bytes(65_536) + b'\r\n'),
+        (b'', OTHER * 100),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 100),
     ],
-    ids=['body', 'chunked body'],
+    ids=['body', 'chunked body', 'responses to another request', 'interim responses'],
 )
-
-
-@ENDLESS_BODIES
 @pytest.mark.parametrize('kind', ['safe', 'unsafe'])
 def test_servers_without_end_keep_no_other_request_from_its_answer(deployment, kind, head, part):
-    """Guards against 504 and 503 for all, while bodies without end wait for each other's memory.
+    """Guards against 504 and 503 for all, while bytes without end are read or wait for memory.
 
     A request that may have run is repeated only if it is safe; otherwise the caller gets 502.
     """
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -6,6 +6,7 @@
 from twisted.python import failure
 
 from rhubarbspar.http1 import client
+from rhubarbspar.http1 import const
 from rhubarbspar.http1 import errors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
@@ -141,6 +142,48 @@
     assert opened.outcomes[0].body == b'1'
 
 
+@pytest.mark.parametrize('body', [b'', b'x', bytes(8_000_000)], ids=len)
+@pytest.mark.parametrize('is_within_bound', [True, False])
+def test_responses_to_other_requests_are_skipped_up_to_a_bound(opened, body, is_within_bound):
+    """Guards against a call that skips responses without end, until its deadline."""
+    answer = b'HTTP/1.1 200 OK\r\nX-Id: %d\r\nContent-Length: %d\r\n\r\n%b'
+    opened.budget.limit_bytes = 10_000_000
+    opened.start(ECHO)
+    (connection,) = opened.connections
+    for _ in range(const.SKIPPED_RESPONSES_MAX):
+        connection.dataReceived(answer % (7, len(body), body))
+        assert not opened.outcomes
+        assert opened.budget.held_bytes <= const.READ_AHEAD_BYTES
+    connection.dataReceived(answer % (1 if is_within_bound else 7, len(body), body))
+    (outcome,) = opened.outcomes
+    assert isinstance(outcome, messages.Response if is_within_bound else errors.MalformedError)
+    assert connection.transport.aborted != is_within_bound
+
+
+def test_large_responses_to_other_requests_are_skipped_up_to_a_bound(opened):
+    """Guards against a call that reads large responses to other requests until its deadline."""
+    opened.budget.limit_bytes = 100_000_000
+    opened.start(ECHO)
+    (connection,) = opened.connections
+    for size_bytes in (const.RESPONSE_MAX_BYTES, 1):
+        assert not opened.outcomes
+        connection.dataReceived(
+            b'HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: %d\r\n\r\n' % size_bytes
+        )
+        connection.dataReceived(bytes(size_bytes))
+    assert isinstance(opened.outcomes[0], errors.MalformedError)
+    assert connection.transport.aborted
+    assert not opened.budget.held_bytes
+
+
+def test_response_to_another_request_than_head_ends_the_call(opened):
+    """Guards against a HEAD request that takes its response for the body of the skipped one."""
+    opened.start(ECHO, messages.Request(b'HEAD', b'/', ()))
+    opened.connections[0].dataReceived(b'HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 9\r\n\r\n')
+    assert isinstance(opened.outcomes[0], errors.MalformedError)
+    assert opened.connections[0].transport.aborted
+
+
 def test_refused_connection_means_that_nothing_was_sent(opened):
     """Guards against a request that is not retried elsewhere although it never ran."""
     call = client.Call(REQUEST, opened.outcomes.append)
