Accept request targets in absolute form

Callers that send the whole URI in the request line (`POST http://HOST/path`) got 404: the target was taken for a path, which no route begins. HTTP/1.1 servers must accept this form (RFC 9112, 3.2.2).

The parser of requests now puts it into origin form as soon as the head is complete: the authority replaces the Host header, an empty path becomes "/" (for OPTIONS "*", RFC 9112, 3.2.4), path and query stay as they are. Routing, affinity, fingerprints and servers see the same request as in origin form. Another scheme, user information or a malformed authority get 400. Responses to malformed requests name the reason in their body, which was empty.

--- a/rhubarbspar/http1/request_parser.py
+++ b/rhubarbspar/http1/request_parser.py
@@ -7,8 +7,10 @@
 import httptools
 
 from rhubarbspar.http1 import bodies
+from rhubarbspar.http1 import errors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
+from rhubarbspar.http1 import request_targets
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,11 +99,19 @@
 
         Raises
         ------
-        httptools.HttpParserError, httptools.HttpParserUpgrade
+        errors.MalformedError
             If they are malformed, or ask for another protocol.
         """
         self._completed_in_chunk = False
-        self._parser.feed_data(chunk)
+        try:
+            self._parser.feed_data(chunk)
+        except httptools.HttpParserUpgrade as error:
+            raise errors.MalformedError('the request asks for another protocol') from error
+        except httptools.HttpParserError as error:
+            # What a callback has raised is the context of the parser's error.
+            context = error.__context__
+            reason = context if isinstance(context, errors.MalformedError) else error
+            raise errors.MalformedError(str(reason)) from error
         if not (self._completed_in_chunk or self.partial.head_complete):
             # A chunk that also holds the end of an earlier message would overstate this size.
             self.partial.head_bytes += len(chunk)
@@ -141,9 +151,10 @@
         self.partial.header_bytes += len(name) + len(content) + memory.HEADER_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
-        """Note the size of the body; answer ``Expect: 100-continue``."""
+        """Put the target into origin form; note the size of the body; answer ``Expect``."""
         partial = self.partial
         partial.head_complete = True
+        self._set_origin(partial)
         partial.announced_bytes = messages.content_length(partial.headers)
         expected = messages.find_header(partial.headers, b'expect')
         if expected is not None and expected.lower() == b'100-continue':
@@ -165,3 +176,19 @@
             share.release()
         else:
             self._receiver.receive_request(request, share)
+
+    def _set_origin(self, partial: PartialRequest) -> None:
+        """Put the request target into origin form.
+
+        Raises
+        ------
+        errors.MalformedError
+            If it is malformed.
+        """
+        if partial.target.startswith(b'/'):
+            return
+        method = self._parser.get_method()
+        headers = tuple(partial.headers)
+        origin = request_targets.to_origin_form(method, bytes(partial.target), headers)
+        partial.target = bytearray(origin.target)
+        partial.headers = list(origin.headers)
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -6,13 +6,13 @@
 import typing
 from collections import abc
 
-import httptools
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
 from zope import interface  # type: ignore[import-untyped]
 
 from rhubarbspar.http1 import const
+from rhubarbspar.http1 import errors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import request_parser
@@ -200,8 +200,8 @@
         self._last_active_ms = self._site.clock_ms()
         try:
             self._parser.feed(chunk)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._refuse(messages.Response(const.STATUS_BAD_REQUEST, keep_alive=False))
+        except errors.MalformedError as error:
+            self._refuse(_describe(error))
             return
         if self._parser.partial.started and not self.closing:
             self._check_partial(self._parser.partial)
@@ -390,6 +390,13 @@
 )
 
 
+def _describe(error: errors.MalformedError) -> messages.Response:
+    """Return the response to a malformed request."""
+    headers = ((b'content-type', b'text/plain'),)
+    reason = str(error).encode()
+    return messages.Response(const.STATUS_BAD_REQUEST, headers, reason, keep_alive=False)
+
+
 def _find_excess(partial: request_parser.PartialRequest, site: Site) -> messages.Response | None:
     """Return the response that refuses a request which exceeds a limit."""
     limits = site.limits()
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -40,6 +40,22 @@
     deployment.loop.run(scenario())
 
 
+def test_target_in_absolute_form_is_served_like_one_in_origin_form(deployment):
+    """Guards against 404 for callers that send the whole URI in the request line."""
+
+    async def scenario():
+        await deployment.until_ready()
+        response = await deployment.call('front', b'http://shop.example/stock/7?a=b')
+        assert (response.status, response.body) == (200, b'in stock')
+        assert (await deployment.call('front', b'/stock/7?a=b')).status == 200
+        absolute, origin = deployment.received
+        assert (absolute.target, origin.target) == (b'/stock/7?a=b', b'/stock/7?a=b')
+        assert sorted(absolute.headers) == sorted(origin.headers)
+        assert (await deployment.call('front', b'http://other.example/stock/7')).status == 404
+
+    deployment.loop.run(scenario())
+
+
 def test_lookup_and_readiness_follow_the_planned_stop(deployment):
     """Guards against callers that are sent to a stopping instance, or that it refuses too early."""
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -118,6 +118,54 @@
     assert not served.exchanges
 
 
+@pytest.mark.parametrize(
+    ('line', 'target', 'host'),
+    [
+        (b'POST http://shop.example/a/b?c=/d&e', b'/a/b?c=/d&e', b'shop.example'),
+        (b'GET HTTP://Shop.example:8080', b'/', b'Shop.example:8080'),
+        (b'GET http://shop.example:?q', b'/?q', b'shop.example'),
+        (b'GET http://[::1]:80/%2F//x/../y', b'/%2F//x/../y', b'[::1]:80'),
+        (b'OPTIONS http://shop.example', b'*', b'shop.example'),
+        (b'OPTIONS http://shop.example/', b'/', b'shop.example'),
+        (b'OPTIONS *', b'*', b'header.example'),
+        (b'GET /http://shop.example/', b'/http://shop.example/', b'header.example'),
+        (b'GET //shop.example/a', b'//shop.example/a', b'header.example'),
+    ],
+)
+@pytest.mark.parametrize('is_split', [True, False])
+def test_target_in_absolute_form_names_the_host(served, line, target, host, is_split):
+    """Guards against a target in absolute form that is taken for a path."""
+    chunk = line + b' HTTP/1.1\r\nHost: header.example\r\nX: 1\r\nContent-Length: 1\r\n\r\na'
+    for part in [chunk[:9], chunk[9:-1], chunk[-1:]] if is_split else [chunk]:
+        served.receive(part)
+    request = served.exchanges[0].request
+    assert (request.target, request.body) == (target, b'a')
+    assert [each for name, each in request.headers if name == b'host'] == [host]
+    assert messages.find_header(request.headers, b'x') == b'1'
+
+
+@pytest.mark.parametrize(
+    'target',
+    [
+        b'ftp://shop.example/',
+        b'http:///a',
+        b'http://user@shop.example/',
+        b'http://shop.example:port/',
+        b'http://shop.example:80:80/',
+        b'http://[::1/',
+        b'http://a%zz/',
+        b'shop.example:80',
+        b'a/b',
+    ],
+)
+def test_malformed_target_is_refused_with_a_reason(served, target):
+    """Guards against targets that are routed by a host that they do not name."""
+    served.receive(b'GET ' + target + b' HTTP/1.1\r\nHost: shop.example\r\n\r\n')
+    assert served.sent.startswith(b'HTTP/1.1 400 ')
+    assert served.sent.partition(b'\r\n\r\n')[2]
+    assert not served.exchanges
+
+
 def test_malformed_request_is_refused_once_behind_pending_ones(served):
     """Guards against further responses that a client takes for those of other requests."""
     served.receive(GET % 1)
