Refuse requests with several Host headers

A request with two Host headers was routed by the first one and passed on with both, so that the gateway and a server could disagree on the host. Such a request gets 400 now (RFC 9112, section 3.2). A request without the header is still served as before: it has no host, so no route matches it.

Both new cases failed before: the requests were passed on.

--- a/rhubarbspar/http1/request_parser.py
+++ b/rhubarbspar/http1/request_parser.py
@@ -154,6 +154,7 @@
         """Put the target into origin form; note the size of the body; answer ``Expect``."""
         partial = self.partial
         partial.head_complete = True
+        _check_host(partial)
         self._set_origin(partial)
         partial.announced_bytes = messages.content_length(partial.headers)
         expected = messages.find_header(partial.headers, b'expect')
@@ -192,3 +193,9 @@
         origin = request_targets.to_origin_form(method, bytes(partial.target), headers)
         partial.target = bytearray(origin.target)
         partial.headers = list(origin.headers)
+
+
+def _check_host(partial: PartialRequest) -> None:
+    """Raise ``errors.MalformedError`` if there are several hosts (RFC 9112, section 3.2)."""
+    if sum(name == b'host' for name, _ in partial.headers) > 1:
+        raise errors.MalformedError('the request has several Host headers')
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -109,6 +109,8 @@
         (b'POST / HTTP/1.1\r\nContent-Length: 500\r\n\r\n' + b'a' * 200, b'413'),
         (b'POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n', b'400'),
         (b'POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n', b'400'),
+        (b'GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\nHost: b\r\n\r\n', b'400'),
+        (b'GET http://a/ HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n', b'400'),
     ],
 )
 def test_unacceptable_requests_are_refused(served, chunk, status):
