Leave no registration behind after a stop during the start

SIGTERM while the instance registers: the deregistration found no lease yet and did nothing; the registration was written after it and stayed for the two minutes of its lease, with nobody behind it.

Cause: the lease was noted only when the record had been written. Now it is noted as soon as it is granted, so that ending it also ends a record that is under way (the store refuses records under a lease that has ended), and nothing is written once the instance has deregistered.

The cases 'grant' and 'put' of the new test fail without the change, the case 'registered' passed before.

--- a/rhubarbspar/gateway/store_tasks.py
+++ b/rhubarbspar/gateway/store_tasks.py
@@ -66,10 +66,13 @@
         self._member = member
         self._deliver = deliver
         self._report = report
+        # The lease of the registration, and the newest one under which it may be written.
         self._lease = 0
+        self._granted_lease = 0
         self._fleet_key = b''
         # Era of the store as far as it is known, and the one in which this instance registered.
         self._era = 0
+        self._granted_era = 0
         self._registered_era = 0
         self._deregistered = False
         self._revision = 0
@@ -119,13 +122,13 @@
                 await self._wait_before_renewal()
 
     async def deregister(self) -> None:
-        """Delete the registration by ending its lease."""
+        """Delete the registration by ending its lease, also while it is written."""
         self._deregistered = True
-        if not self._lease or self._registered_era != self._known_era():
+        if not self._granted_lease or self._granted_era != self._known_era():
             # A restored store may have given the lease's id to another instance.
             return
         try:
-            await self._client.revoke_lease(self._lease)
+            await self._client.revoke_lease(self._granted_lease)
         except errors.StoreError as error:
             # The lease ends without renewal after ``LEASE_TTL_MS``.
             self._report_failure('leave', error)
@@ -201,6 +204,10 @@
         """Write the registration with a new lease, and the key of the fleet if it is missing."""
         lease = await self._client.grant_lease(LEASE_TTL_MS)
         era = self._known_era()
+        if self._deregistered:
+            return
+        self._granted_lease = lease
+        self._granted_era = era
         key = records.member_key(self._member.instance_id)
         await self._client.put_if(key, records.encode_member(self._member), None, lease)
         if self._fleet_key:
