Drop log lines on any failed write

Only EPIPE and EIO were handled. On a full disk (ENOSPC) every line raised in the log's sink, which printed a traceback to standard error for each one, and the buffer kept its lines and tried them again with each new one.

The cases ENOSPC and EBADF of the new test fail without the change, EIO passed before.

--- a/rhubarbspar/gateway/log_stream.py
+++ b/rhubarbspar/gateway/log_stream.py
@@ -4,7 +4,6 @@
 """
 
 import dataclasses
-import errno
 import os
 import typing
 
@@ -74,10 +73,8 @@
                 written = os.write(self._descriptor, self._buffer)
             except BlockingIOError:
                 return
-            except OSError as error:
-                if error.errno not in {errno.EPIPE, errno.EIO}:
-                    raise
-                # The reader has closed the log; the gateway continues without it.
+            except OSError:
+                # The log is closed, or its disk is full; the gateway continues without it.
                 self.dropped_count += 1
                 self._buffer.clear()
                 return
--- a/tests/gateway/test_log_stream.py
+++ b/tests/gateway/test_log_stream.py
@@ -1,7 +1,10 @@
 """Rate limits on log lines, and log output to a reader that stalls or closes."""
 
+import errno
 import os
 
+import pytest
+
 from rhubarbspar.gateway import log_stream
 
 
@@ -37,3 +40,19 @@
     stream.write('line\n')
     assert stream.dropped_count
     os.close(writer)
+
+
+@pytest.mark.parametrize('number', [errno.EBADF, errno.EIO, errno.ENOSPC])
+def test_failed_write_is_no_error(monkeypatch, number):
+    """Guards against a gateway that fails because its log does."""
+
+    def fail(_descriptor, _content):
+        raise OSError(number, os.strerror(number))
+
+    reader, writer = os.pipe()
+    stream = log_stream.LogStream(writer)
+    monkeypatch.setattr(os, 'write', fail)
+    stream.write('line\n')
+    assert stream.dropped_count == 1
+    os.close(reader)
+    os.close(writer)
