Handle SIGTERM from the first line of the program

A second SIGTERM to a process that was just started anew ended it with -15, up to the moment at which the daemon ran; a signal in the last tens of milliseconds of a planned stop ended it with -15 or -1.

Cause: only SIGHUP was handled before the daemon, SIGTERM had its default action; the interpreter restores the default actions when it ends; and the deployed command imported the package before the first line.

Change: a program file handles SIGTERM, SIGINT and SIGHUP first, with a module that is built into the interpreter. Until the daemon takes over, SIGTERM and SIGINT end the process with 0 at once: nothing is served yet. The loop's handlers are installed before the loop runs and replace these, so that no signal is lost between them. While ports are taken, a stop ends the process at once too, instead of a planned stop of 3 s. After the loop, signals are ignored. A start that fails no longer ends a planned stop. `python -m rhubarbspar.gateway` and `rhubarbspar gateway` use the same file.

--- a/rhubarbspar/cli.py
+++ b/rhubarbspar/cli.py
@@ -152,5 +152,6 @@
 
 
 def _run_gateway(parsed: argparse.Namespace, _connect_to: Connect) -> int:
-    daemon = importlib.import_module('rhubarbspar.gateway.daemon')
-    return int(daemon.run(parsed.settings))
+    # Imported here, because it handles the signals of the process.
+    program = importlib.import_module('rhubarbspar.gateway.program')
+    return int(program.run(parsed.settings))
--- a/rhubarbspar/gateway/__main__.py
+++ b/rhubarbspar/gateway/__main__.py
@@ -3,34 +3,8 @@
 This imports none of the operators' commands.
 """
 
-import signal
-
-# Until the daemon handles SIGHUP, the signal would end the process, and the imports below take much
-# of the start. From the end of the start on, the daemon compares the settings with the file.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
-
-import argparse
-import os
 import sys
 
-from rhubarbspar import exceptions
-from rhubarbspar.gateway import daemon
-
-# Memory that the process may use, megabytes.
-_ENV_MEMORY_MB = 'GATEWAY_MEMORY_MB'
-_EXIT_BAD_INPUT = 2
-
-
-def main() -> int:
-    """Run a gateway until its planned stop; return 2 if the settings are invalid, otherwise 0."""
-    parser = argparse.ArgumentParser(prog='rhubarbspar.gateway', description='Run a gateway.')
-    parser.add_argument('settings', metavar='FILE', help='gateway settings')
-    memory_mb = os.environ.get(_ENV_MEMORY_MB, '')
-    try:
-        return daemon.run(parser.parse_args().settings, memory_mb)
-    except exceptions.RhubarbsparError as error:
-        sys.stderr.write(f'rhubarbspar: {error}\n')
-        return _EXIT_BAD_INPUT
-
+from rhubarbspar.gateway import program
 
-sys.exit(main())
+sys.exit(program.main())
--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -101,6 +101,8 @@
         self._supervisor = supervision.Supervisor(
             reactor, self._driver.report_exception, self._end_start
         )
+        self._is_open = False
+        self._is_exiting = False
         self.exit_code = 0
 
     def start(self) -> None:
@@ -119,9 +121,14 @@
         self._store.close()
 
     def request_stop(self) -> None:
-        """Begin a planned stop."""
+        """Begin a planned stop; the process exits at once if its ports are not open yet."""
         self._listeners.caller_site.closing = True
-        self._driver.deliver(core_events.StopRequested())
+        if self._is_open:
+            self._driver.deliver(core_events.StopRequested())
+            return
+        self._supervisor.close()
+        self._driver.report(core_effects.Log('stopped'))
+        self._exit()
 
     def reload(self) -> None:
         """Read the settings again; if they are absent or invalid, the last ones stay in force."""
@@ -166,6 +173,9 @@
         """
         listen = functools.partial(self._listeners.open, self._settings, self._driver.forwards)
         await self._supervisor.bind('ports', listen)
+        if self._is_exiting:
+            return
+        self._is_open = True
         self._supervisor.run('watch_records', self._store.watch_records)
         self._supervisor.run('keep_registered', self._store.keep_registered)
         self._supervisor.run('metrics', self._open_metrics)
@@ -229,16 +239,25 @@
             return None
 
     def _exit(self) -> None:
+        if self._is_exiting:
+            return
+        self._is_exiting = True
         # The delay lets the last responses be written before the process ends.
         self._reactor.callLater(_EXIT_DELAY_S, self._reactor.stop)
 
     def _end_start(self, _error: Exception) -> None:
-        """End the process: it cannot serve, and the platform starts it again."""
+        """End the process: it cannot serve, and the platform starts it again.
+
+        A planned stop that has begun ends as planned.
+        """
+        if self._state.is_stopping or self._is_exiting:
+            return
         self.exit_code = EXIT_START_FAILED
         self._exit()
 
 
 _EXIT_DELAY_S: typing.Final = 0.15
+_STOP_SIGNALS: typing.Final = (signal.SIGINT, signal.SIGTERM)
 
 
 def run(settings_path: str, memory_mb: str = '') -> int:
@@ -257,14 +276,21 @@
     reactor = importlib.import_module('twisted.internet.reactor')
     daemon = Daemon(settings_path, settings, reactor, memory_mb)
     reactor.callWhenRunning(daemon.start)
-    reactor.callWhenRunning(_install_signal_handlers, daemon)
+    _handle_signals(loop, daemon)
     reactor.run(installSignalHandlers=False)
+    _ignore_signals()
     stream.flush()
     return daemon.exit_code
 
 
-def _install_signal_handlers(daemon: Daemon) -> None:
-    loop = asyncio.get_event_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+def _handle_signals(loop: asyncio.AbstractEventLoop, daemon: Daemon) -> None:
+    """Let the loop handle the signals; one that comes before it runs is handled when it does."""
+    for number in _STOP_SIGNALS:
         loop.add_signal_handler(number, daemon.request_stop)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+
+
+def _ignore_signals() -> None:
+    """Ignore signals: the interpreter restores the default actions of others when it ends."""
+    for number in (*_STOP_SIGNALS, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
--- /dev/null
+++ b/rhubarbspar/gateway/program.py
@@ -0,0 +1,75 @@
+"""Program file of a gateway: ``python rhubarbspar/gateway/program.py FILE``.
+
+Until the signals are handled, SIGTERM and SIGHUP end the process by their default actions. Before
+that, this file imports only modules that are built into the interpreter: ``signal`` imports
+``enum``, and ``python -m`` imports the package first.
+"""
+
+import _signal  # type: ignore[import-not-found]  # noqa: WPS436 (see above)
+import posix
+import sys
+
+
+def _exit_at_once(_number: int, _frame: object) -> None:
+    """End the process; it serves nothing yet."""
+    posix._exit(0)  # noqa: WPS437 (an exception could be caught by the code that is interrupted)
+
+
+def _handle_signals() -> None:
+    """Handle signals until the daemon does, which then compares the settings with the file."""
+    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+    _signal.signal(_signal.SIGTERM, _exit_at_once)
+    _signal.signal(_signal.SIGINT, _exit_at_once)
+
+
+_handle_signals()
+
+# As a program, this file has its own folder on the path; its modules are no top-level modules.
+sys.path = [entry for entry in sys.path if entry != __file__.rpartition('/')[0]]
+
+import argparse
+import importlib
+import os
+import pathlib
+
+# Memory that the process may use, megabytes.
+_ENV_MEMORY_MB = 'GATEWAY_MEMORY_MB'
+_EXIT_BAD_INPUT = 2
+
+
+def run(settings_path: str) -> int:
+    """Run a gateway until its planned stop has ended; return the exit code.
+
+    Raises
+    ------
+    rhubarbspar.exceptions.RhubarbsparError
+        If the settings are absent or invalid.
+    """
+    _find_package()
+    daemon = importlib.import_module('rhubarbspar.gateway.daemon')
+    return int(daemon.run(settings_path, os.environ.get(_ENV_MEMORY_MB, '')))
+
+
+def main() -> int:
+    """Run the gateway of the command line; return 2 if its settings are invalid."""
+    parser = argparse.ArgumentParser(prog='rhubarbspar.gateway', description='Run a gateway.')
+    parser.add_argument('settings', metavar='FILE', help='gateway settings')
+    settings_path = parser.parse_args().settings
+    _find_package()
+    exceptions = importlib.import_module('rhubarbspar.exceptions')
+    try:
+        return run(settings_path)
+    except exceptions.RhubarbsparError as error:
+        sys.stderr.write(f'rhubarbspar: {error}\n')
+        return _EXIT_BAD_INPUT
+
+
+def _find_package() -> None:
+    """Put the folder of the package on the path."""
+    root = pathlib.Path(__file__).resolve().parents[2]
+    if str(root) not in sys.path:
+        sys.path.insert(0, str(root))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
