Start without standard input, output and error

A process whose standard output was not open ended with 1 at once. Without that check, a socket would have got number 1, and log lines would have been sent to its peer.

Change: the null device is opened in place of closed descriptors 0 to 2 before anything else opens one.

The three cases of the new test fail on (the process ends with 1); with the change the readiness port answers, the descriptors are the null device, and a stop ends the process with 0.

--- a/rhubarbspar/gateway/program.py
+++ b/rhubarbspar/gateway/program.py
@@ -35,6 +35,7 @@
 # Memory that the process may use, megabytes.
 _ENV_MEMORY_MB = 'GATEWAY_MEMORY_MB'
 _EXIT_BAD_INPUT = 2
+_STANDARD_DESCRIPTORS = range(3)
 
 
 def run(settings_path: str) -> int:
@@ -45,6 +46,7 @@
     rhubarbspar.exceptions.RhubarbsparError
         If the settings are absent or invalid.
     """
+    _open_standard_descriptors()
     _find_package()
     daemon = importlib.import_module('rhubarbspar.gateway.daemon')
     return int(daemon.run(settings_path, os.environ.get(_ENV_MEMORY_MB, '')))
@@ -52,6 +54,7 @@
 
 def main() -> int:
     """Run the gateway of the command line; return 2 if its settings are invalid."""
+    _open_standard_descriptors()
     parser = argparse.ArgumentParser(prog='rhubarbspar.gateway', description='Run a gateway.')
     parser.add_argument('settings', metavar='FILE', help='gateway settings')
     settings_path = parser.parse_args().settings
@@ -64,6 +67,22 @@
         return _EXIT_BAD_INPUT
 
 
+def _open_standard_descriptors() -> None:
+    """Open the null device in place of standard input, output and error that are closed.
+
+    A socket would get the number of a closed one, and log lines would be sent to its peer.
+    """
+    for descriptor in _STANDARD_DESCRIPTORS:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)
+    _, output, error_output = _STANDARD_DESCRIPTORS
+    # The interpreter has no object for a descriptor that was closed at its start.
+    sys.stdout = sys.stdout or open(output, 'w', closefd=False)  # noqa: SIM115, WPS515
+    sys.stderr = sys.stderr or open(error_output, 'w', closefd=False)  # noqa: SIM115, WPS515
+
+
 def _find_package() -> None:
     """Put the folder of the package on the path."""
     root = pathlib.Path(__file__).resolve().parents[2]
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -67,12 +67,12 @@
         self.log_path = folder / 'log'
         self._started = []
 
-    def start(self, *words):
+    def start(self, *words, **options):
         """Start a process with words that come before the path of the settings."""
         command = (sys.executable, *words, str(self.settings_path))
         with self.log_path.open('ab') as log:
-            started = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log)
-            self._started.append(started)
+            streams = {'stdout': log, 'stderr': log, **options}
+            self._started.append(subprocess.Popen(command, cwd=ROOT, **streams))
         return self._started[-1]
 
     def replace_settings_by_pipe(self):
@@ -190,3 +190,21 @@
         time.sleep(POLL_INTERVAL_S)
     assert process.returncode == 0
     assert processes.log().count('event=stopping') == 1
+
+
+@pytest.mark.parametrize('closed', [(1,), (1, 2), (0, 1, 2)])
+def test_process_without_standard_descriptors_serves(processes, closed):
+    """Guards against a start that fails, and log lines in a connection, without standard output."""
+
+    def close_descriptors():
+        for descriptor in closed:
+            os.close(descriptor)
+
+    process = processes.start(PROGRAM, preexec_fn=close_descriptors)
+    answer = processes.until_ready_port_answers()
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert b'event=' not in answer
+    opened = {number: os.readlink(f'/proc/{process.pid}/fd/{number}') for number in closed}
+    assert opened == dict.fromkeys(closed, os.devnull)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(TIMEOUT_S) == 0
