Find the packages of the build beside the program

The deployed command runs the interpreter with -S, which reads no .pth files. On a machine that puts target/deps on the path by one of these and not by PYTHONPATH, no process started: ModuleNotFoundError and exit code 1.

Change: target/deps of the repository comes last on the path. If a package is missing nevertheless, the process ends with 1 and names it.

--- a/rhubarbspar/gateway/program.py
+++ b/rhubarbspar/gateway/program.py
@@ -34,6 +34,7 @@
 
 # Memory that the process may use, megabytes.
 _ENV_MEMORY_MB = 'GATEWAY_MEMORY_MB'
+_EXIT_START_FAILED = 1
 _EXIT_BAD_INPUT = 2
 _STANDARD_DESCRIPTORS = range(3)
 
@@ -47,8 +48,15 @@
         If the settings are absent or invalid.
     """
     _open_standard_descriptors()
-    _find_package()
-    daemon = importlib.import_module('rhubarbspar.gateway.daemon')
+    _find_packages()
+    try:
+        daemon = importlib.import_module('rhubarbspar.gateway.daemon')
+    except ModuleNotFoundError as error:
+        sys.stderr.write(
+            f'rhubarbspar: package {error.name} is neither on the path of the interpreter nor in '
+            'target/deps of the repository\n'
+        )
+        return _EXIT_START_FAILED
     return int(daemon.run(settings_path, os.environ.get(_ENV_MEMORY_MB, '')))
 
 
@@ -58,7 +66,7 @@
     parser = argparse.ArgumentParser(prog='rhubarbspar.gateway', description='Run a gateway.')
     parser.add_argument('settings', metavar='FILE', help='gateway settings')
     settings_path = parser.parse_args().settings
-    _find_package()
+    _find_packages()
     exceptions = importlib.import_module('rhubarbspar.exceptions')
     try:
         return run(settings_path)
@@ -83,11 +91,17 @@
     sys.stderr = sys.stderr or open(error_output, 'w', closefd=False)  # noqa: SIM115, WPS515
 
 
-def _find_package() -> None:
-    """Put the folder of the package on the path."""
+def _find_packages() -> None:
+    """Put the folder of the package on the path, and after all others that of the build's packages.
+
+    The path may lack both: ``python -S`` reads no ``.pth`` files.
+    """
     root = pathlib.Path(__file__).resolve().parents[2]
     if str(root) not in sys.path:
         sys.path.insert(0, str(root))
+    packages = str(root / 'target' / 'deps')
+    if packages not in sys.path:
+        sys.path.append(packages)
 
 
 if __name__ == '__main__':
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -5,10 +5,12 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
 import sys
+import sysconfig
 import time
 
 import pytest
@@ -23,6 +25,7 @@
     'module': ('-m', 'rhubarbspar.gateway'),
     'command': ('-m', 'rhubarbspar', 'gateway', '--settings'),
 }
+EXIT_START_FAILED = 1
 EXIT_BAD_INPUT = 2
 TIMEOUT_S = 60
 POLL_INTERVAL_S = 0.001
@@ -67,12 +70,12 @@
         self.log_path = folder / 'log'
         self._started = []
 
-    def start(self, *words, **options):
+    def start(self, *words, root=ROOT, **options):
         """Start a process with words that come before the path of the settings."""
         command = (sys.executable, *words, str(self.settings_path))
         with self.log_path.open('ab') as log:
             streams = {'stdout': log, 'stderr': log, **options}
-            self._started.append(subprocess.Popen(command, cwd=ROOT, **streams))
+            self._started.append(subprocess.Popen(command, cwd=root, **streams))
         return self._started[-1]
 
     def replace_settings_by_pipe(self):
@@ -208,3 +211,38 @@
     assert opened == dict.fromkeys(closed, os.devnull)
     process.send_signal(signal.SIGTERM)
     assert process.wait(TIMEOUT_S) == 0
+
+
+@pytest.fixture
+def deployed_tree(tmp_path):
+    """Return a copy of the repository's package, as the build finds it."""
+    root = tmp_path / 'deployed'
+    ignore = shutil.ignore_patterns('__pycache__')
+    shutil.copytree(ROOT / 'rhubarbspar', root / 'rhubarbspar', ignore=ignore)
+    (root / 'target').mkdir()
+    return root
+
+
+def start_deployed(processes, root):
+    """Start a process whose path names no packages."""
+    environment = {name: text for name, text in os.environ.items() if name != 'PYTHONPATH'}
+    return processes.start('-S', PROGRAM, root=root, env=environment)
+
+
+def test_packages_are_found_beside_the_program(processes, deployed_tree):
+    """Guards against a start that fails because nothing puts the build's packages on the path."""
+    packages = deployed_tree / 'target' / 'deps'
+    packages.symlink_to(sysconfig.get_path('purelib'))
+    processes.replace_settings_by_pipe()
+    process = start_deployed(processes, deployed_tree)
+    processes.until_settings_are_awaited()
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(TIMEOUT_S) == 0
+
+
+def test_missing_packages_are_named(processes, deployed_tree):
+    """Guards against a failed start whose log does not tell what is missing."""
+    process = start_deployed(processes, deployed_tree)
+    assert process.wait(TIMEOUT_S) == EXIT_START_FAILED
+    assert 'target/deps' in processes.log()
+    assert 'Traceback' not in processes.log()
