Answer requests that have arrived before an idle connection closes

In a planned stop, and at the idle timeout, a connection that was idle as far as the loop knew was closed; a request that had already arrived was then read and dropped.

Cause: the decision to close looked at what had been read, and the write side was closed only when the loop came to it, in its next step.

Change: a connection with unread bytes stays open and closes with its next response; otherwise the write side is closed at once, so that nothing comes between the decision and the close.

The four cases of the two new tests over sockets fail without the change.

--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -219,7 +219,8 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is pending or being received."""
-        if not (self._pending or self._parser.partial.started or self.closing):
+        is_busy = self._pending or self._parser.partial.started or self.closing
+        if not is_busy and _end_writing(self):
             self._close()
 
     def flush(self) -> None:
@@ -298,7 +299,7 @@
         if partial.started and not partial.head_complete:
             if now_ms - partial.started_ms > limits.header_timeout_ms:
                 self._refuse(messages.Response(const.STATUS_REQUEST_TIMEOUT, keep_alive=False))
-        elif now_ms - self._last_active_ms > limits.idle_timeout_ms:
+        elif now_ms - self._last_active_ms > limits.idle_timeout_ms and _end_writing(self):
             self._close()
 
     def _write(self, exchange: Exchange, response: messages.Response, *, close: bool) -> None:
@@ -390,6 +391,14 @@
 )
 
 
+def _end_writing(channel: Channel) -> bool:
+    """Close the write side of an idle connection, unless a request has arrived that is not read.
+
+    Return false in that case. A request that arrives later finds the write side closed.
+    """
+    return not channel.writer.is_sent or transports.end_writing(channel.transport)
+
+
 def _find_excess(partial: request_parser.PartialRequest, site: Site) -> messages.Response | None:
     """Return the response that refuses a request which exceeds a limit."""
     limits = site.limits()
--- a/tests/http1/conftest.py
+++ b/tests/http1/conftest.py
@@ -15,7 +15,11 @@
         """Create a transport whose delayed calls follow ``clock``."""
         super().__init__()
         self.reactor = clock
-        self.socket = types.SimpleNamespace(setsockopt=lambda *_arguments: None)
+        self.socket = types.SimpleNamespace(
+            recv=lambda *_arguments: b'',
+            setsockopt=lambda *_arguments: None,
+            shutdown=lambda *_arguments: None,
+        )
         self.write_closed = False
         self.aborted = False
         # Whether the peer reads nothing, so that the transport asks for nothing more.
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -1,4 +1,6 @@
-"""Tests of the HTTP/1.1 server on in-memory transports."""
+"""Tests of the HTTP/1.1 server on in-memory transports, and over sockets where these matter."""
+
+import socket
 
 import pytest
 from twisted.internet import error
@@ -161,6 +163,58 @@
     assert not served.transport.write_closed
 
 
+@pytest.fixture
+def client(loop, served):
+    """Return a client's socket; the site of ``served`` has answered one request on it."""
+
+    async def answer_first():
+        await loop.until(lambda: served.exchanges)
+        served.exchanges[0].respond(OK)
+        await loop.until(lambda: all(channel.writer.is_sent for channel in served.site.channels))
+
+    port = loop.reactor.listenTCP(0, served.site, interface='127.0.0.1')
+    with socket.create_connection(('127.0.0.1', port.getHost().port), 30) as connection:
+        connection.sendall(GET % 1)
+        loop.run(answer_first())
+        assert connection.recv(1000).endswith(OK.body)
+        yield connection
+    served.site.abort()
+    loop.run(loop.wait(0))
+    port.stopListening()
+
+
+def close_idle(served):
+    """Close the idle connections of a site that stops."""
+    served.site.closing = True
+    served.site.close_idle()
+
+
+def close_expired(served):
+    """Close the connections that have been idle for too long."""
+    served.now_ms = 15_100
+    served.site.close_expired()
+
+
+@pytest.mark.parametrize('close', [close_idle, close_expired])
+def test_request_that_has_arrived_is_answered_before_an_idle_connection_closes(
+    loop, served, client, close
+):
+    """Guards against a request that is read and dropped, when the loop is late and then closes."""
+    client.sendall(GET % 2)
+    close(served)
+    loop.run(loop.until(lambda: len(served.exchanges) == 2))
+    served.exchanges[1].respond(OK)
+    loop.run(loop.wait(0))
+    assert client.recv(1000).endswith(OK.body)
+
+
+@pytest.mark.parametrize('close', [close_idle, close_expired])
+def test_client_sees_at_once_that_an_idle_connection_closes(served, client, close):
+    """Guards against requests that are sent between the decision to close and the close."""
+    close(served)
+    assert client.recv(1) == b''
+
+
 def test_closing_site_closes_the_connection_after_a_response(served):
     """Guards against clients that keep their connection to an instance that stops."""
     served.receive(GET % 1)
