Accept waiting connections before the port for callers closes

When a planned stop ended the listening, connections that the loop had not accepted yet were reset, with the requests that callers had sent on them. Now they are accepted first; their requests are answered, or refused as not run.

The new test fails without the change: none of 20 connections that wait in the queue gets an answer.

--- a/rhubarbspar/gateway/listeners.py
+++ b/rhubarbspar/gateway/listeners.py
@@ -103,10 +103,19 @@
         self._serve(address, self._answer_metrics)
 
     def stop_accepting(self) -> None:
-        """Accept no more connections of callers."""
+        """Accept no more connections of callers than those that wait for it.
+
+        Closing the port would reset these.
+        """
         port = self._ports.get(self._caller_address)
-        if port is not None:
-            port.stopListening()
+        if port is None:
+            return
+        for _ in range(BACKLOG):
+            count = len(self.caller_site.channels)
+            port.doRead()
+            if count == len(self.caller_site.channels):
+                break
+        port.stopListening()
 
     def close(self) -> None:
         """Close all ports and connections."""
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -1,6 +1,7 @@
 """End-to-end tests in one process: caller, gateway, store and a backend server over sockets."""
 
 import json
+import socket
 
 import pytest
 
@@ -61,6 +62,28 @@
     deployment.loop.run(scenario())
 
 
+def test_connections_that_wait_for_their_acceptance_are_served_when_a_port_closes(deployment):
+    """Guards against requests on new connections that are reset at the end of a planned stop."""
+    deployment.loop.run(deployment.until_ready())
+    host, _, port = deployment.addresses['front'].rpartition(':')
+    clients = [socket.create_connection((host, int(port)), 30) for _ in range(20)]
+    for client in clients:
+        client.sendall(b'GET /none/ HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\r\n')
+    listeners = deployment.gateway._listeners
+    listeners.stop_accepting()
+    deployment.loop.run(
+        deployment.loop.until(lambda: not any(map(is_open, listeners.caller_site.channels)))
+    )
+    for client in clients:
+        assert client.recv(1000).startswith(b'HTTP/1.1 4')
+        client.close()
+
+
+def is_open(channel):
+    """Return whether a connection may still get a response."""
+    return not channel.closing
+
+
 def test_draining_server_gets_no_request(deployment):
     """Guards against a store change that has no effect on the choice of the server."""
 
