Treat an answer of the store in another form as a failed call

Callers saw an instance that ended by itself with exit code 1: the first call of a start reads the key of the fleet, and an answer that was JSON without the expected fields raised KeyError or TypeError, which ends a start. The watch and the registration were restarted by the supervisor for the same reason, without the log line of a failed call. An era of 5000 digits raised ValueError.

All bodies of answers are now decoded in one place, platform/answers.py, which checks the type and range of each field and raises MalformedAnswerError, a StoreError: the call is logged and repeated.

--- a/rhubarbspar/platform/errors.py
+++ b/rhubarbspar/platform/errors.py
@@ -30,6 +30,10 @@
         self.status = status
 
 
+class MalformedAnswerError(StoreError):
+    """An answer of the store has another form than the call asks for."""
+
+
 class CompactedError(StoreError):
     """The store has compacted changes after the requested revision; a new read is required."""
 
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -1,7 +1,6 @@
 """HTTP client of the platform's key-value store."""
 
 import base64
-import dataclasses
 import json
 import typing
 from collections import abc
@@ -18,6 +17,7 @@
 from rhubarbspar.http1 import client
 from rhubarbspar.http1 import errors as http_errors
 from rhubarbspar.http1 import messages
+from rhubarbspar.platform import answers
 from rhubarbspar.platform import const
 from rhubarbspar.platform import errors
 
@@ -26,24 +26,8 @@
 CALL_TIMEOUT_MS: typing.Final = 1500
 CONNECT_TIMEOUT_MS: typing.Final = 600
 IDLE_MAX_MS: typing.Final = 20_000
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Answer:
-    """The decoded body of an answer, and the era of the store that gave it."""
-
-    document: typing.Any
-    era: int
-
-    @property
-    def revision(self) -> int:
-        """Return the revision of the store at the answer."""
-        return revisions.combine(self.era, self.document['at'])
-
-
 # Value of the query parameter that permits a stale answer.
 _STALE_ALLOWED: typing.Final = '1'
-_NO_DOCUMENT: typing.Final = b'null'
 
 
 class Store:
@@ -88,8 +72,8 @@
             first_revision = answer.revision if first_revision is None else first_revision
             if answer.era != revisions.era_of(first_revision):
                 raise errors.RestoredError('the store was restored between two pages')
-            records.extend(_decode_record(row, answer.era) for row in answer.document['items'])
-            if not answer.document.get('hasMore') or not records:
+            records.extend(answer.records('items'))
+            if not answer.has_more or not records:
                 return tuple(records), first_revision
             after = records[-1].key
 
@@ -116,8 +100,7 @@
             raise
         if answer.era != revisions.era_of(after):
             raise errors.RestoredError('the store was restored since the last change')
-        changes = tuple(_decode_record(row, answer.era) for row in answer.document['events'])
-        return changes, answer.revision
+        return answer.records('events'), answer.revision
 
     async def read(self, key: str, *, allow_stale: bool = False) -> events.RecordRead | None:
         """Return one record, or ``None`` if its key does not exist."""
@@ -128,7 +111,7 @@
             if error.status == const.STATUS_NOT_FOUND:
                 return None
             raise
-        return _decode_record(answer.document, answer.era)
+        return answer.record()
 
     async def put_if(self, key: str, content: bytes, revision: int | None, lease: int = 0) -> bool:
         """Write a record if its key has the given revision; return whether it was written.
@@ -160,8 +143,7 @@
         """Create a lease and return its id."""
         body = {'ttl_time': durations.format_ms(ttl_ms)}
         answer = await self._exchange(b'POST', '/kv-lease', {}, body)
-        lease: int = answer.document['lease']
-        return lease
+        return answer.lease()
 
     async def renew_lease(self, lease: int) -> bool:
         """Restart a lease's time to live; return false if the lease no longer exists."""
@@ -190,7 +172,7 @@
         query: dict[str, str],
         body: typing.Any = None,
         timeout_ms: float = CALL_TIMEOUT_MS,
-    ) -> _Answer:
+    ) -> answers.Answer:
         target = '?'.join((path, urls.urlencode(query))) if query else path
         content = b'' if body is None else json.dumps(body).encode()
         headers = ((b'host', self._host), (b'content-type', b'application/json'))
@@ -198,26 +180,10 @@
         outcome = await self._send(request, timeout_ms)
         if isinstance(outcome, http_errors.HttpError):
             raise errors.StoreError(str(outcome)) from outcome
-        era = self._check_era(outcome)
+        self.era = answers.decode_era(outcome.headers, self.era)
         if outcome.status != const.STATUS_OK:
             raise errors.StoreRejectedError(outcome.status)
-        try:
-            return _Answer(json.loads(bodies.join(outcome.body) or _NO_DOCUMENT), era)
-        except (RecursionError, ValueError) as error:
-            raise errors.StoreError('answer of the store is not JSON') from error
-
-    def _check_era(self, response: messages.Response) -> int:
-        """Return the era that an answer names; the last one if it names none."""
-        raw = messages.find_header(response.headers, const.HEADER_STORE_ERA)
-        if raw is None:
-            return self.era
-        if not raw.isdigit():
-            raise errors.StoreError('the store names no valid era')
-        era = int(raw)
-        if era < self.era:
-            raise errors.StoreError('the answer is older than the restore of the store')
-        self.era = era
-        return era
+        return answers.decode(bodies.join(outcome.body), self.era)
 
     async def _send(self, request: messages.Request, timeout_ms: float) -> client.Outcome:
         finished: defer.Deferred[client.Outcome] = defer.Deferred()
@@ -237,10 +203,3 @@
         # Other idle connections may have stopped carrying traffic as well.
         self._pool.close()
         call.abort(http_errors.BrokenError('store did not answer in time'))
-
-
-def _decode_record(row: dict[str, typing.Any], era: int) -> events.RecordRead:
-    revision = revisions.combine(era, row['revision'])
-    if row.get('tombstone'):
-        return events.RecordRead(row['key'], revision, None)
-    return events.RecordRead(row['key'], revision, base64.b64decode(row['value']))
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -30,6 +30,9 @@
         Requests are ignored: neither carried out nor answered.
     status
         Status of every answer, without carrying out the request; ``None`` for normal operation.
+    body, headers
+        Body and headers of every answer, without carrying out the request; ``None`` for normal
+        operation.
     lose_answers
         Calls other than watches are carried out but not answered.
     era
@@ -41,6 +44,8 @@
         self.database = store_model.Database()
         self.silent = False
         self.status = None
+        self.body = None
+        self.headers = ()
         self.lose_answers = False
         self.era = 1
         self._reactor = reactor
@@ -90,6 +95,9 @@
         if self.status is not None:
             self._respond(exchange, messages.Response(self.status))
             return
+        if self.body is not None:
+            exchange.respond(messages.Response(200, self.headers, self.body))
+            return
         parts = urls.urlsplit(exchange.request.target.decode())
         query = {name: found[0] for name, found in urls.parse_qs(parts.query).items()}
         body = json.loads(exchange.request.body or b'null')
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -82,6 +82,51 @@
     loop.run(scenario())
 
 
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'[]',
+        b'{',
+        b'[' * 100_000,
+        b'{"at": "1", "items": []}',
+        b'{"at": 1, "items": 1, "events": 1}',
+        b'{"at": 1, "items": [1], "events": [1]}',
+        b'{"at": 1, "items": [{}], "events": [{}]}',
+        b'{"at": 1, "items": [{"key": "a", "revision": 1}], "events": [{"key": "a"}], "key": 1}',
+        b'{"at": 1, "items": [{"key": "a", "revision": 1, "value": "a"}], "events": [[]]}',
+    ],
+)
+def test_answer_of_another_form_raises(loop, kv_store, kv_client, body):
+    """Guards against a process that ends at its start because the store answers something else."""
+    kv_store.body = body
+
+    async def scenario():
+        for call in (
+            lambda: kv_client.read('a'),
+            lambda: kv_client.read_all(''),
+            lambda: kv_client.watch('', 0, 20),
+            lambda: kv_client.grant_lease(1000),
+        ):
+            with pytest.raises(errors.StoreError):
+                await call()
+
+    loop.run(scenario())
+
+
+@pytest.mark.parametrize('era', [b'x', b'-1', b'9' * 5000])
+def test_malformed_era_of_the_store_raises(loop, kv_store, kv_client, era):
+    """Guards against a process that ends because of a header of the store."""
+    kv_store.body = b'{}'
+    kv_store.headers = ((b'store-era', era),)
+
+    async def scenario():
+        with pytest.raises(errors.StoreError):
+            await kv_client.grant_lease(1000)
+
+    loop.run(scenario())
+
+
 def test_call_to_a_silent_store_times_out(loop, kv_store, kv_client, monkeypatch):
     """Guards against waiting forever on a connection that no longer carries traffic."""
     monkeypatch.setattr(store, 'CALL_TIMEOUT_MS', 50)
