Bound what the store may answer, as a part of the memory budget

Callers saw an instance that ran out of memory, and their requests ended with it, when the store sent bytes without end. The pool of the store had no budget: several calls at once held up to 64 MB each and decoded them, and a small text of empty lists took twenty times its size once decoded.

The answers of the store now draw on a part of the budget of the process. The part does not wait for callers and servers, which may hold all the rest, but what it holds counts for them. An answer may be as large as a page of the store with one more record of the size that the store names (valueBytes, 1 MiB if it names none). The number of its elements is counted before it is decoded. What exceeds this is a failed call with a message of its own; it is repeated as usual, and the records that were read stay in force. The settings take the table of the store as another list of bounds, so that files of earlier templates stay valid.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -32,7 +32,6 @@
 from rhubarbspar.helpers import logs
 from rhubarbspar.peers import registry
 from rhubarbspar.peers import transport as peer_transport
-from rhubarbspar.platform import store
 from rhubarbspar.server import metrics
 
 _SWEEP_INTERVAL_S: typing.Final = 0.25
@@ -87,7 +86,7 @@
         self._backends = backend_client.BackendClient(reactor, deliver, clock_ms, self._budget)
         self._store = store_tasks.StoreTasks(
             reactor,
-            store.Store(reactor, settings.store_address, clock_ms),
+            initial_state.make_store(settings, reactor, clock_ms, self._budget),
             self._member,
             deliver,
             self._driver.report,
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -2,6 +2,7 @@
 
 import secrets
 import typing
+from collections import abc
 
 from rhubarbspar.gateway import budget
 from rhubarbspar.gateway import fleet
@@ -16,6 +17,7 @@
 from rhubarbspar.http1 import memory
 from rhubarbspar.peers import transport
 from rhubarbspar.platform import records
+from rhubarbspar.platform import store
 
 _INCARNATION_BYTES: typing.Final = 6
 
@@ -51,6 +53,17 @@
     return memory_limits.make_budget(memory_mb)
 
 
+def make_store(
+    settings: gateway_settings.Settings,
+    reactor: typing.Any,
+    clock_ms: abc.Callable[[], float],
+    process_budget: memory.MemoryBudget,
+) -> store.Store:
+    """Return the client of the store; its answers draw on a part of the budget."""
+    limits = memory_limits.make_store_limits(process_budget, settings.bounds.store_content_bytes)
+    return store.Store(reactor, settings.store_address, clock_ms, limits, process_budget)
+
+
 def make_member(settings: gateway_settings.Settings) -> models.Member:
     """Return the registration of this instance under a new random incarnation."""
     return models.Member(
--- a/rhubarbspar/gateway/memory_limits.py
+++ b/rhubarbspar/gateway/memory_limits.py
@@ -1,5 +1,6 @@
 """Division of the memory of the process."""
 
+import dataclasses
 import math
 import typing
 
@@ -14,6 +15,33 @@
 _IDLE_PROCESS_MB: typing.Final = 56
 _BUDGET_MIN_MB: typing.Final = 16
 
+# What the store puts into a page: contents up to this size, and one more record beyond it.
+_PAGE_CONTENT_BYTES: typing.Final = 1_048_576
+_PAGE_RECORDS_MAX: typing.Final = 1000
+# Key, numbers and syntax of a record in an answer; a key may have a long escape for each byte.
+_RECORD_OVERHEAD_BYTES: typing.Final = 1536
+# Base64 has four characters for three bytes.
+_ENCODED_RATIO: typing.Final = 4 / 3
+# Several thousand changes with up to ten members each.
+_ELEMENTS_MAX: typing.Final = 131_072
+_CONTENT_SHARE_MAX: typing.Final = 0.06
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """What the process takes from the store.
+
+    Attributes
+    ----------
+    answer_max_bytes
+        Size of the body of an answer.
+    elements_max
+        Number of arrays, objects and their members in an answer.
+    """
+
+    answer_max_bytes: int
+    elements_max: int
+
 
 def make_budget(memory_mb: str) -> memory.MemoryBudget:
     """Return the budget of the requests and responses of a process.
@@ -27,6 +55,20 @@
     return memory.MemoryBudget(int(max(_BUDGET_MIN_MB, planned_mb) * _BYTES_PER_MB))
 
 
+def make_store_limits(budget: memory.MemoryBudget, content_max_bytes: float) -> StoreLimits:
+    """Return what a process with a budget takes from the store.
+
+    Parameters
+    ----------
+    content_max_bytes
+        Size of the largest content of a record, as far as the store says.
+    """
+    content_bytes = min(content_max_bytes, budget.limit_bytes * _CONTENT_SHARE_MAX)
+    encoded_bytes = (_PAGE_CONTENT_BYTES + content_bytes) * _ENCODED_RATIO
+    answer_max_bytes = int(encoded_bytes) + _PAGE_RECORDS_MAX * _RECORD_OVERHEAD_BYTES
+    return StoreLimits(answer_max_bytes, _ELEMENTS_MAX)
+
+
 def _parse_mb(raw: str) -> float:
     try:
         parsed = float(raw)
--- a/rhubarbspar/gateway/settings.py
+++ b/rhubarbspar/gateway/settings.py
@@ -47,6 +47,8 @@
     exposure_ratio, exposure_allowance
         A bad version may get ``exposure_ratio`` times the requests of its service plus
         ``exposure_allowance`` in the time of its rollout.
+    store_content_bytes
+        Size of the largest content of a record in the store; larger answers of it are not read.
     """
 
     stop_grace: float = 6000
@@ -55,6 +57,7 @@
     retry_window: float = 10_000
     exposure_ratio: float = 0.05
     exposure_allowance: float = 20
+    store_content_bytes: float = 1_048_576
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/http1/client.py
+++ b/rhubarbspar/http1/client.py
@@ -384,7 +384,7 @@
         return errors.MalformedError('there are too many headers')
     body_bytes = max(len(partial.body), partial.announced_bytes or 0)
     if body_bytes > min(const.RESPONSE_MAX_BYTES, body_max_bytes):
-        return errors.MalformedError('the body is too large')
+        return errors.TooLargeError('the body is too large')
     return None
 
 
--- a/rhubarbspar/http1/errors.py
+++ b/rhubarbspar/http1/errors.py
@@ -17,3 +17,7 @@
 
 class MalformedError(HttpError):
     """The peer sent a malformed or oversized HTTP message."""
+
+
+class TooLargeError(MalformedError):
+    """The body of a message is larger than the process reads."""
--- a/rhubarbspar/http1/memory.py
+++ b/rhubarbspar/http1/memory.py
@@ -24,11 +24,15 @@
     ----------
     limit_bytes
         Upper bound of what all shares reserve together.
+    whole
+        Budget of which this one is a part. The part never waits for the rest of it, but the rest
+        waits for the part.
     """
 
-    def __init__(self, limit_bytes: float = math.inf) -> None:
+    def __init__(self, limit_bytes: float = math.inf, whole: 'MemoryBudget | None' = None) -> None:
         """Create a budget of which nothing is held."""
         self.limit_bytes = limit_bytes
+        self._share_of_whole = None if whole is None else Share(whole)
         self.held_bytes = 0
         self._large_bytes = 0
         self._waiting: dict[Share, _Waiting] = {}
@@ -43,6 +47,10 @@
         """Return whether a connection waits for memory."""
         return bool(self._waiting)
 
+    def part(self, message_max_bytes: int) -> 'MemoryBudget':
+        """Return a part of this budget that holds a large message of up to a size."""
+        return MemoryBudget(math.ceil(message_max_bytes / _LARGE_SHARE), self)
+
     def fits(self, share: 'Share', size_bytes: int) -> bool:
         """Return whether a share may grow to a size."""
         if self.held_bytes - share.size_bytes + size_bytes > self.limit_bytes:
@@ -58,6 +66,8 @@
         self.held_bytes += size_bytes - share.size_bytes
         self._large_bytes += _large_part(size_bytes) - _large_part(share.size_bytes)
         share.size_bytes = size_bytes
+        if self._share_of_whole is not None:
+            self._share_of_whole.hold(self.held_bytes)
         if released and self._waiting:
             self._serve_waiting()
 
--- a/rhubarbspar/platform/answers.py
+++ b/rhubarbspar/platform/answers.py
@@ -1,4 +1,8 @@
-"""Codec of the store's answers."""
+"""Codec of the bodies of the store's answers.
+
+A small text can decode to many times its size. The number of its elements is therefore checked
+before it is decoded.
+"""
 
 import base64
 import dataclasses
@@ -17,6 +21,8 @@
 _NUMBER_END: typing.Final = 0x10000000000
 _ERA_DIGITS_MAX: typing.Final = 6
 _NO_DOCUMENT: typing.Final = b'null'
+# Each element of an array or member of an object comes after one of these.
+_ELEMENT_MARKS: typing.Final = (b',', b'[', b'{')
 
 Document: typing.TypeAlias = dict[str, typing.Any]
 
@@ -54,14 +60,23 @@
         return bool(self.document.get('hasMore'))
 
 
-def decode(body: bytes, era: int) -> Answer:
+def decode(body: bytes, era: int, elements_max: int) -> Answer:
     """Decode the body of an answer.
 
+    Parameters
+    ----------
+    elements_max
+        Upper bound of the arrays, objects and their members.
+
     Raises
     ------
+    errors.TooLargeError
+        If there are more elements.
     errors.MalformedAnswerError
         If it is neither empty nor a JSON object.
     """
+    if sum(body.count(mark) for mark in _ELEMENT_MARKS) > elements_max:
+        raise errors.TooLargeError(f'the answer has more than {elements_max} elements')
     try:
         document = json.loads(body or _NO_DOCUMENT)
     except (RecursionError, ValueError) as error:
--- a/rhubarbspar/platform/bounds.py
+++ b/rhubarbspar/platform/bounds.py
@@ -28,6 +28,7 @@
         'grace': _Field('stop_grace', validators.duration_ms),
         'retryBudgetRatio': _Field('retry_ratio', validators.non_negative),
         'retryBudgetSlack': _Field('retry_allowance', validators.non_negative),
+        'valueBytes': _Field('store_content_bytes', validators.non_negative),
     }
 )
 
--- a/rhubarbspar/platform/errors.py
+++ b/rhubarbspar/platform/errors.py
@@ -34,6 +34,10 @@
     """An answer of the store has another form than the call asks for."""
 
 
+class TooLargeError(StoreError):
+    """An answer of the store, or all its records, exceed what it may hold."""
+
+
 class CompactedError(StoreError):
     """The store has compacted changes after the requested revision; a new read is required."""
 
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -10,12 +10,14 @@
 
 from rhubarbspar import const as package_const
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import memory_limits
 from rhubarbspar.gateway import revisions
 from rhubarbspar.helpers import addresses
 from rhubarbspar.helpers import durations
 from rhubarbspar.http1 import bodies
 from rhubarbspar.http1 import client
 from rhubarbspar.http1 import errors as http_errors
+from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from rhubarbspar.platform import answers
 from rhubarbspar.platform import const
@@ -26,6 +28,8 @@
 CALL_TIMEOUT_MS: typing.Final = 1500
 CONNECT_TIMEOUT_MS: typing.Final = 600
 IDLE_MAX_MS: typing.Final = 20_000
+
+
 # Value of the query parameter that permits a stale answer.
 _STALE_ALLOWED: typing.Final = '1'
 
@@ -41,17 +45,29 @@
         ``host:port`` of the store.
     clock_ms
         Monotonic clock of the process.
+    limits
+        What the store may answer.
+    budget
+        The budget of the process; the answers draw on a part of it, so that they do not wait for
+        other messages.
     """
 
     def __init__(
-        self, reactor: typing.Any, address: str, clock_ms: abc.Callable[[], float]
+        self,
+        reactor: typing.Any,
+        address: str,
+        clock_ms: abc.Callable[[], float],
+        limits: memory_limits.StoreLimits,
+        budget: memory.MemoryBudget,
     ) -> None:
         """Prepare the connection pool; the first call opens a connection."""
         host, port = addresses.split_host_port(address)
         self._reactor = reactor
         self._host = address.encode()
         endpoint = client.Endpoint(host, port)
-        self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS)
+        self._limits = limits
+        part = budget.part(limits.answer_max_bytes)
+        self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS, part)
         self._calls: set[client.Call] = set()
         # Number of times that the store was restored, by its answers; 0 if it does not tell.
         self.era = 0
@@ -178,12 +194,18 @@
         headers = ((b'host', self._host), (b'content-type', b'application/json'))
         request = messages.Request(method, target.encode(), headers, content)
         outcome = await self._send(request, timeout_ms)
-        if isinstance(outcome, http_errors.HttpError):
-            raise errors.StoreError(str(outcome)) from outcome
+        match outcome:
+            case http_errors.TooLargeError():
+                limit_bytes = self._limits.answer_max_bytes
+                raise errors.TooLargeError(
+                    f'the answer is larger than {limit_bytes} bytes'
+                ) from outcome
+            case http_errors.HttpError():
+                raise errors.StoreError(str(outcome)) from outcome
         self.era = answers.decode_era(outcome.headers, self.era)
         if outcome.status != const.STATUS_OK:
             raise errors.StoreRejectedError(outcome.status)
-        return answers.decode(bodies.join(outcome.body), self.era)
+        return answers.decode(bodies.join(outcome.body), self.era, self._limits.elements_max)
 
     async def _send(self, request: messages.Request, timeout_ms: float) -> client.Outcome:
         finished: defer.Deferred[client.Outcome] = defer.Deferred()
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -55,6 +55,28 @@
     return socket.create_server((host, int(port)))
 
 
+def free_addresses(host):
+    """Return free addresses for callers, readiness checks and look-ups, by name."""
+    return {name: free_address(host) for name in ('front', 'ready', 'directory')}
+
+
+def fill_settings(instance_id, store_address, host, addresses):
+    """Return the settings of a gateway that listens on ``addresses`` and other ports of a host."""
+    placeholders = {
+        **test_settings.VALUES,
+        'node': json.dumps(instance_id),
+        'listen.front': json.dumps(addresses['front']),
+        'listen.ready': json.dumps(addresses['ready']),
+        'listen.directory': json.dumps(addresses['directory']),
+        'provider.address': json.dumps(store_address),
+        'ip': host,
+        'internalPorts.0': free_address(host).rpartition(':')[2],
+        'internalPorts.1': free_address(host).rpartition(':')[2],
+    }
+    text = test_settings.fill_template(placeholders)
+    return text.replace(f'{host}:9464', free_address(host))
+
+
 class Gateway:
     """A gateway on loopback ports; its parts use a reactor of the test's choice.
 
@@ -73,31 +95,15 @@
     def __init__(self, instance_id, store_address, reactor, folder, taken=()):
         """Start the gateway; another process holds the ports named in ``taken``."""
         self._host = own_host()
-        self.addresses = {
-            name: free_address(self._host) for name in ('front', 'ready', 'directory')
-        }
+        self.addresses = free_addresses(self._host)
         self.settings_path = folder / f'{instance_id}.jsonc'
-        self.settings_path.write_text(self._settings(instance_id, store_address))
+        text = fill_settings(instance_id, store_address, self._host, self.addresses)
+        self.settings_path.write_text(text)
         loaded = settings.load(self.settings_path)
         self.taken = [hold(getattr(loaded, name)) for name in taken]
         self.daemon = gateway_daemon.Daemon(str(self.settings_path), loaded, reactor)
         self.daemon.start()
 
-    def _settings(self, instance_id, store_address):
-        placeholders = {
-            **test_settings.VALUES,
-            'node': json.dumps(instance_id),
-            'listen.front': json.dumps(self.addresses['front']),
-            'listen.ready': json.dumps(self.addresses['ready']),
-            'listen.directory': json.dumps(self.addresses['directory']),
-            'provider.address': json.dumps(store_address),
-            'ip': self._host,
-            'internalPorts.0': free_address(self._host).rpartition(':')[2],
-            'internalPorts.1': free_address(self._host).rpartition(':')[2],
-        }
-        text = test_settings.fill_template(placeholders)
-        return text.replace(f'{self._host}:9464', free_address(self._host))
-
 
 class Deployment:
     """A store, a backend server and a gateway on loopback ports; more gateways can be added.
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -18,6 +18,7 @@
     'exposureShare': 0.1,
     'exposureSlack': 50,
 }
+STORE_BOUNDS = {'valueBytes': 2_097_152}
 VALUES = {
     'node': '"front-1"',
     'zone': '"almaty-a"',
@@ -26,6 +27,7 @@
     'listen.front': '"10.1.0.23:8389"',
     'listen.ready': '"10.1.0.23:8384"',
     'listen.directory': '"10.1.0.23:8385"',
+    'provider': json.dumps({'address': '10.200.1.7:8382', 'form': 'kv', **STORE_BOUNDS}),
     'provider.address': '"10.200.1.7:8382"',
     'bounds': json.dumps(BOUNDS),
     'ip': '10.1.0.23',
@@ -67,6 +69,7 @@
     assert loaded.peer_address == '10.1.0.23:7460'
     assert loaded.bounds.stop_grace == 5000
     assert loaded.bounds.retry_window == 12_000
+    assert loaded.bounds.store_content_bytes == 2_097_152
     assert loaded.defaulted_bounds == ()
 
 
@@ -99,9 +102,9 @@
 @pytest.mark.parametrize('bounds', ['', '{}', '{"grace": null}'])
 def test_settings_without_bounds_are_valid(load, bounds):
     """Guards against a template that is no valid file when the platform gives no bounds."""
-    loaded = load({**VALUES, 'bounds': bounds})
+    loaded = load({**VALUES, 'bounds': bounds, 'provider': '{}'})
     assert loaded.bounds == settings.Bounds()
-    assert len(loaded.defaulted_bounds) == len(BOUNDS)
+    assert len(loaded.defaulted_bounds) == len(BOUNDS) + len(STORE_BOUNDS)
 
 
 def test_unknown_bounds_are_ignored(load):
--- a/tests/http1/test_memory.py
+++ b/tests/http1/test_memory.py
@@ -43,6 +43,30 @@
     assert memory.Share(budget).reserve(memory.SMALL_MAX_BYTES, pytest.fail)
 
 
+def test_part_waits_for_nothing_else_and_counts_in_the_whole(budget):
+    """Guards against reads of the store that wait for callers, or that no sum counts."""
+    resumed = []
+    memory.Share(budget).hold(LIMIT_BYTES)
+    part = budget.part(LARGE_BYTES)
+    first = memory.Share(part)
+    assert first.reserve(LARGE_BYTES, pytest.fail)
+    assert not memory.Share(part).reserve(LARGE_BYTES, lambda: resumed.append(1))
+    assert budget.held_bytes == LIMIT_BYTES + LARGE_BYTES
+    assert not memory.Share(budget).reserve(1, pytest.fail)
+    first.release()
+    assert resumed
+
+
+def test_whole_serves_those_who_wait_when_a_part_is_released(budget):
+    """Guards against callers that wait on after the store has been read."""
+    resumed = []
+    read = memory.Share(budget.part(LARGE_BYTES))
+    read.reserve(LARGE_BYTES, pytest.fail)
+    assert not memory.Share(budget).reserve(LARGE_BYTES, lambda: resumed.append(1))
+    read.release()
+    assert resumed
+
+
 def test_released_share_waits_no_more(budget):
     """Guards against a closed connection that is resumed."""
     first, second = memory.Share(budget), memory.Share(budget)
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from rhubarbspar.gateway import memory_limits
+from rhubarbspar.gateway import settings
 from rhubarbspar.platform import store as platform_store
 from tests.platform import standin
 
@@ -19,8 +21,15 @@
 
 
 @pytest.fixture
-def kv_client(loop, kv_store):
-    """Return a client of the stand-in store."""
-    made = platform_store.Store(loop.reactor, kv_store.address, lambda: 0.0)
+def budget():
+    """Return the memory budget of the smallest process."""
+    return memory_limits.make_budget('')
+
+
+@pytest.fixture
+def kv_client(loop, kv_store, budget):
+    """Return a client of the stand-in store, with the limits of the smallest process."""
+    limits = memory_limits.make_store_limits(budget, settings.Bounds().store_content_bytes)
+    made = platform_store.Store(loop.reactor, kv_store.address, lambda: 0.0, limits, budget)
     yield made
     made.reset()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,8 @@
 import pytest
 
 from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway import settings
+from rhubarbspar.http1 import memory
 from rhubarbspar.platform import errors
 from rhubarbspar.platform import store
 
@@ -114,6 +116,44 @@
     loop.run(scenario())
 
 
+def test_largest_records_are_read_while_callers_hold_the_memory(loop, kv_store, kv_client, budget):
+    """Guards against an instance that cannot read its configuration under load, or at all."""
+    content = bytes(settings.Bounds().store_content_bytes)
+    kv_store.put('a', content)
+    kv_store.put('b', content)
+    memory.Share(budget).hold(int(budget.limit_bytes))
+
+    async def scenario():
+        records, _ = await kv_client.read_all('')
+        assert [record.content for record in records] == [content, content]
+        changes, _ = await kv_client.watch('', revisions.combine(kv_store.era, 1), 1000)
+        assert changes == records
+
+    loop.run(scenario())
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{"at": 1, "items": [], "events": [], "more": "%b"}' % bytes(5_000_000),
+        b'{"at": 1, "items": [], "events": [], "more": [%b0]}' % (b'0,' * 200_000),
+        b'{"at": 1, "items": [], "events": [], "more": [%b[]]}' % (b'[],' * 200_000),
+    ],
+    ids=['bytes', 'numbers', 'lists'],
+)
+def test_answer_that_takes_too_much_memory_raises(loop, kv_store, kv_client, budget, body):
+    """Guards against holding what a faulty store sends, as text or decoded."""
+    kv_store.body = body
+
+    async def scenario():
+        for call in (lambda: kv_client.read_all(''), lambda: kv_client.watch('', 0, 20)):
+            with pytest.raises(errors.TooLargeError):
+                await call()
+        await loop.until(lambda: not budget.held_bytes)
+
+    loop.run(scenario())
+
+
 @pytest.mark.parametrize('era', [b'x', b'-1', b'9' * 5000])
 def test_malformed_era_of_the_store_raises(loop, kv_store, kv_client, era):
     """Guards against a process that ends because of a header of the store."""
