Read a body of unknown length up to the limit of its budget

A response without end, of a server or the store, waited near the limit of its budget for memory that only it held, until the deadline of its request. Callers got 504 late, and the log said that the store did not answer in time. The read-ahead is now cut at the limit, so that the body ends before it or is refused as too large at once.

--- a/rhubarbspar/http1/client.py
+++ b/rhubarbspar/http1/client.py
@@ -260,11 +260,13 @@
     def _check_size(self) -> None:
         """Fail a response that is too large; stop reading until the next part of it fits."""
         partial = self._partial
-        error = _find_excess(partial, self._pool.budget.message_max_bytes)
+        body_max_bytes = self._pool.budget.message_max_bytes
+        error = _find_excess(partial, body_max_bytes)
         if error is not None:
             self._fail(error)
             return
-        expected_bytes = len(partial.body) + const.READ_AHEAD_BYTES
+        # Near the limit, it reads on to see whether the body ends before it.
+        expected_bytes = int(min(len(partial.body) + const.READ_AHEAD_BYTES, body_max_bytes))
         if partial.announced_bytes is not None:
             expected_bytes = partial.announced_bytes
         transport: typing.Any = self.transport
--- a/tests/gateway/test_store_memory.py
+++ b/tests/gateway/test_store_memory.py
@@ -48,13 +48,16 @@
     yield b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b' % (len(body), body)
 
 
+BODY_TOO_LARGE = 'the answer is larger than'
+TOO_MANY_ELEMENTS = 'the answer has more than'
+# Each answer without end, and the error that the log names.
 ENDLESS = {
-    'body': lambda: chunked(BLOCK),
-    'announced body': announced,
-    'head': head,
-    'empty lists': lambda: nested(b'[]'),
-    'empty objects': lambda: nested(b'{}'),
-    'list without end': lambda: chunked(b'[],' * 20_000),
+    'body': (lambda: chunked(BLOCK), BODY_TOO_LARGE),
+    'announced body': (announced, BODY_TOO_LARGE),
+    'head': (head, 'the head or trailers are too large'),
+    'empty lists': (lambda: nested(b'[]'), TOO_MANY_ELEMENTS),
+    'empty objects': (lambda: nested(b'{}'), TOO_MANY_ELEMENTS),
+    'list without end': (lambda: chunked(b'[],' * 20_000), BODY_TOO_LARGE),
 }
 
 
@@ -164,8 +167,8 @@
     loop.run(created.close())
 
 
-@pytest.mark.parametrize('answer', ENDLESS.values(), ids=ENDLESS.keys())
-def test_store_that_answers_without_end_leaves_the_process_its_memory(process, answer):
+@pytest.mark.parametrize(('answer', 'error'), ENDLESS.values(), ids=ENDLESS.keys())
+def test_store_that_answers_without_end_leaves_the_process_its_memory(process, answer, error):
     """Guards against a process that the platform ends because it keeps what the store sends.
 
     From the first call on; afterwards the process reads the store as usual.
@@ -175,6 +178,7 @@
         process.front.answer_with(answer)
         process.start()
         await process.until_logged('store_call_failed', FAILURES)
+        await process.until_logged(error)
         assert process.peak_mb < MEMORY_MB * PLANNED_SHARE
         process.front.answer_with(None)
         await process.until_logged('snapshot_applied')
@@ -182,8 +186,8 @@
     process.loop.run(scenario())
 
 
-@pytest.mark.parametrize('answer', ENDLESS.values(), ids=ENDLESS.keys())
-def test_records_stay_in_force_while_the_store_answers_without_end(process, answer):
+@pytest.mark.parametrize(('answer', 'error'), ENDLESS.values(), ids=ENDLESS.keys())
+def test_records_stay_in_force_while_the_store_answers_without_end(process, answer, error):
     """Guards against a process that ends or forgets its records when the store fails later."""
 
     async def scenario():
@@ -191,6 +195,7 @@
         await process.until_logged('snapshot_applied')
         process.front.answer_with(answer)
         await process.until_logged('store_call_failed', FAILURES)
+        await process.until_logged(error)
         assert process.peak_mb < MEMORY_MB * PLANNED_SHARE
 
     process.loop.run(scenario())
