End a read of the store whose pages have no end

A store that always named another page was read for ever: with a page that repeated, an empty one, or new records each time. The process kept all of them and never became ready. The last key of each page now has to be a new one, and all records together may take half of the memory budget; otherwise the read is a failed call and is repeated.

--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -2,10 +2,14 @@
 
 import dataclasses
 import enum
+import typing
 
 from rhubarbspar.core import events
 from rhubarbspar.gateway import models
 
+# Memory of a record besides its key and content: the objects that hold it and its decoded form.
+RECORD_OVERHEAD_BYTES: typing.Final = 2048
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestReceived(events.Event):
@@ -125,6 +129,11 @@
     revision: int
     content: bytes | None
 
+    @property
+    def size_bytes(self) -> int:
+        """Return about how much memory the record and its decoded form take."""
+        return RECORD_OVERHEAD_BYTES + len(self.key) + len(self.content or b'')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSnapshot(events.Event):
--- a/rhubarbspar/gateway/memory_limits.py
+++ b/rhubarbspar/gateway/memory_limits.py
@@ -25,6 +25,7 @@
 # Several thousand changes with up to ten members each.
 _ELEMENTS_MAX: typing.Final = 131_072
 _CONTENT_SHARE_MAX: typing.Final = 0.06
+_RECORDS_SHARE: typing.Final = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,10 +38,13 @@
         Size of the body of an answer.
     elements_max
         Number of arrays, objects and their members in an answer.
+    records_max_bytes
+        Size of all records together, by ``events.RecordRead.size_bytes``.
     """
 
     answer_max_bytes: int
     elements_max: int
+    records_max_bytes: int
 
 
 def make_budget(memory_mb: str) -> memory.MemoryBudget:
@@ -66,7 +70,7 @@
     content_bytes = min(content_max_bytes, budget.limit_bytes * _CONTENT_SHARE_MAX)
     encoded_bytes = (_PAGE_CONTENT_BYTES + content_bytes) * _ENCODED_RATIO
     answer_max_bytes = int(encoded_bytes) + _PAGE_RECORDS_MAX * _RECORD_OVERHEAD_BYTES
-    return StoreLimits(answer_max_bytes, _ELEMENTS_MAX)
+    return StoreLimits(answer_max_bytes, _ELEMENTS_MAX, int(budget.limit_bytes * _RECORDS_SHARE))
 
 
 def _parse_mb(raw: str) -> float:
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -77,8 +77,17 @@
 
         The records come in pages and form no snapshot. Changes that the pages miss are newer than
         the returned revision, so that a watch from it delivers them.
+
+        Raises
+        ------
+        errors.TooLargeError
+            If the records are larger than the limits permit.
+        errors.MalformedAnswerError
+            If a page repeats the end of an earlier one, or is empty and not the last.
         """
         records: list[events.RecordRead] = []
+        size_bytes = 0
+        seen: set[str] = set()
         first_revision: int | None = None
         after = ''
         while True:
@@ -88,10 +97,14 @@
             first_revision = answer.revision if first_revision is None else first_revision
             if answer.era != revisions.era_of(first_revision):
                 raise errors.RestoredError('the store was restored between two pages')
-            records.extend(answer.records('items'))
-            if not answer.has_more or not records:
+            page = answer.records('items')
+            records.extend(page)
+            size_bytes += sum(record.size_bytes for record in page)
+            self._check_size(size_bytes)
+            if not answer.has_more:
                 return tuple(records), first_revision
-            after = records[-1].key
+            after = _end_of_page(page, seen)
+            seen.add(after)
 
     async def watch(
         self, prefix: str, after: int, wait_ms: int
@@ -207,6 +220,12 @@
             raise errors.StoreRejectedError(outcome.status)
         return answers.decode(bodies.join(outcome.body), self.era, self._limits.elements_max)
 
+    def _check_size(self, records_bytes: int) -> None:
+        """Raise an error if the records that were read exceed their limit."""
+        limit_bytes = self._limits.records_max_bytes
+        if records_bytes > limit_bytes:
+            raise errors.TooLargeError(f'the records take more than {limit_bytes} bytes')
+
     async def _send(self, request: messages.Request, timeout_ms: float) -> client.Outcome:
         finished: defer.Deferred[client.Outcome] = defer.Deferred()
         call = client.Call(request, finished.callback)
@@ -225,3 +244,10 @@
         # Other idle connections may have stopped carrying traffic as well.
         self._pool.close()
         call.abort(http_errors.BrokenError('store did not answer in time'))
+
+
+def _end_of_page(page: tuple[events.RecordRead, ...], seen: abc.Set[str]) -> str:
+    """Return the last key of a page that has another one behind it; it must be a new one."""
+    if not page or page[-1].key in seen:
+        raise errors.MalformedAnswerError('the pages of the store do not advance')
+    return page[-1].key
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,7 @@
 """Tests of the platform's store client against the stand-in."""
 
+import json
+
 import pytest
 
 from rhubarbspar.gateway import revisions
@@ -154,6 +156,31 @@
     loop.run(scenario())
 
 
+@pytest.mark.parametrize('items', [[], [{'key': 'a', 'revision': 1, 'value': ''}]])
+def test_pages_that_do_not_advance_raise(loop, kv_store, kv_client, items):
+    """Guards against a read that never ends and keeps each page."""
+    kv_store.body = json.dumps({'at': 1, 'items': items, 'hasMore': True}).encode()
+
+    async def scenario():
+        with pytest.raises(errors.MalformedAnswerError):
+            await kv_client.read_all('')
+
+    loop.run(scenario())
+
+
+def test_records_beyond_the_limit_raise(loop, kv_store, kv_client, budget):
+    """Guards against pages without end, each of ordinary size, that fill the memory."""
+    content = bytes(settings.Bounds().store_content_bytes)
+    for number in range(int(budget.limit_bytes / len(content))):
+        kv_store.put(f'k{number}', content)
+
+    async def scenario():
+        with pytest.raises(errors.TooLargeError):
+            await kv_client.read_all('')
+
+    loop.run(scenario())
+
+
 @pytest.mark.parametrize('era', [b'x', b'-1', b'9' * 5000])
 def test_malformed_era_of_the_store_raises(loop, kv_store, kv_client, era):
     """Guards against a process that ends because of a header of the store."""
