Bound the records that changes of the store add

Changes without end, each of ordinary size, added records to the replica until the memory was used up: with 1000 new servers a change, 140 MB after 30 s and rising on (300 MB, planned 180). The replica now adds records while all of them take up to half of the memory budget, and logs how many it ignored; known records and deletions go on as before.

In tests/gateway/test_store_replica.py, both new tests fail without the bound.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -32,6 +32,7 @@
 from rhubarbspar.helpers import logs
 from rhubarbspar.peers import registry
 from rhubarbspar.peers import transport as peer_transport
+from rhubarbspar.platform import store
 from rhubarbspar.server import metrics
 
 _SWEEP_INTERVAL_S: typing.Final = 0.25
@@ -74,7 +75,8 @@
         self._reactor = reactor
         self._counters = metrics.Metrics(settings.instance_id)
         self._member = initial_state.make_member(settings)
-        self._state = initial_state.create(settings, self._member)
+        store_limits = initial_state.make_store_limits(settings, self._budget)
+        self._state = initial_state.create(settings, self._member, store_limits)
         process = effect_driver.Process(
             lambda: self._listeners.caller_site.close_idle(),
             lambda: self._listeners.stop_accepting(),
@@ -86,7 +88,7 @@
         self._backends = backend_client.BackendClient(reactor, deliver, clock_ms, self._budget)
         self._store = store_tasks.StoreTasks(
             reactor,
-            initial_state.make_store(settings, reactor, clock_ms, self._budget),
+            store.Store(reactor, settings.store_address, clock_ms, store_limits, self._budget),
             self._member,
             deliver,
             self._driver.report,
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -9,6 +9,7 @@
 
 # Memory of a record besides its key and content: the objects that hold it and its decoded form.
 RECORD_OVERHEAD_BYTES: typing.Final = 2048
+TOMBSTONE_OVERHEAD_BYTES: typing.Final = 512
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,7 +133,9 @@
     @property
     def size_bytes(self) -> int:
         """Return about how much memory the record and its decoded form take."""
-        return RECORD_OVERHEAD_BYTES + len(self.key) + len(self.content or b'')
+        if self.content is None:
+            return TOMBSTONE_OVERHEAD_BYTES + len(self.key)
+        return RECORD_OVERHEAD_BYTES + len(self.key) + len(self.content)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -2,27 +2,31 @@
 
 import secrets
 import typing
-from collections import abc
 
 from rhubarbspar.gateway import budget
 from rhubarbspar.gateway import fleet
 from rhubarbspar.gateway import memory_limits
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import record_table
 from rhubarbspar.gateway import rollout_schedule
 from rhubarbspar.gateway import rollouts
 from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway import store_replica
 from rhubarbspar.helpers import addresses
 from rhubarbspar.http1 import memory
 from rhubarbspar.peers import transport
 from rhubarbspar.platform import records
-from rhubarbspar.platform import store
 
 _INCARNATION_BYTES: typing.Final = 6
 
 
-def create(settings: gateway_settings.Settings, member: models.Member) -> gateway_state.State:
+def create(
+    settings: gateway_settings.Settings,
+    member: models.Member,
+    store_limits: memory_limits.StoreLimits,
+) -> gateway_state.State:
     """Return the state of a gateway before its first event."""
     return gateway_state.State(
         decode=records.decode,
@@ -32,6 +36,9 @@
         network=selection.NetworkTopology(
             settings.failure_domain, settings.region, settings.regions
         ),
+        replica=store_replica.StoreReplica(
+            records=record_table.RecordTable(store_limits.records_max_bytes)
+        ),
         rollouts=rollouts.Rollouts(exposure=exposure_limits(settings)),
     )
 
@@ -53,15 +60,12 @@
     return memory_limits.make_budget(memory_mb)
 
 
-def make_store(
-    settings: gateway_settings.Settings,
-    reactor: typing.Any,
-    clock_ms: abc.Callable[[], float],
-    process_budget: memory.MemoryBudget,
-) -> store.Store:
-    """Return the client of the store; its answers draw on a part of the budget."""
-    limits = memory_limits.make_store_limits(process_budget, settings.bounds.store_content_bytes)
-    return store.Store(reactor, settings.store_address, clock_ms, limits, process_budget)
+def make_store_limits(
+    settings: gateway_settings.Settings, process_budget: memory.MemoryBudget
+) -> memory_limits.StoreLimits:
+    """Return what the process takes from the store."""
+    content_max_bytes = settings.bounds.store_content_bytes
+    return memory_limits.make_store_limits(process_budget, content_max_bytes)
 
 
 def make_member(settings: gateway_settings.Settings) -> models.Member:
--- a/rhubarbspar/gateway/store_records.py
+++ b/rhubarbspar/gateway/store_records.py
@@ -22,7 +22,7 @@
     state: gateway_state.State, records: tuple[events.RecordRead, ...], now_ms: float
 ) -> list[core_effects.Effect]:
     """Apply changed records in the order of their revisions; return the resulting effects."""
-    outputs: list[core_effects.Effect] = []
+    outputs = _report_ignored(state)
     for record in records:
         if record.content is None:
             state.replica.note_change(record)
@@ -40,6 +40,16 @@
     return outputs
 
 
+def _report_ignored(state: gateway_state.State) -> list[core_effects.Effect]:
+    """Log the records for which the replica has no room."""
+    count = state.replica.ignored_count
+    if not count:
+        return []
+    state.replica.ignored_count = 0
+    limit_bytes = state.replica.records.max_bytes
+    return [core_effects.Log('records_ignored', (('count', count), ('limit_bytes', limit_bytes)))]
+
+
 def _decode_and_apply(
     state: gateway_state.State, record: events.RecordRead, content: bytes, now_ms: float
 ) -> list[core_effects.Effect]:
--- a/rhubarbspar/gateway/store_replica.py
+++ b/rhubarbspar/gateway/store_replica.py
@@ -10,6 +10,7 @@
 import typing
 
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import record_table
 from rhubarbspar.gateway import revisions
 
 # Deleted keys are kept as tombstones, up to this number, to relay the deletion to peers without
@@ -76,6 +77,8 @@
     lost_removed_ms
         When the records that were not written again after a restore are removed; infinity if there
         was none lately.
+    ignored_count
+        Records that were not added for lack of room since this was last set to 0.
     """
 
     revision: int = 0
@@ -86,7 +89,8 @@
     last_contact_ms: float = float('-inf')
     registration_grace_until_ms: float = float('-inf')
     lost_removed_ms: float = math.inf
-    records: dict[str, events.RecordRead] = dataclasses.field(default_factory=dict)
+    ignored_count: int = 0
+    records: record_table.RecordTable = dataclasses.field(default_factory=record_table.RecordTable)
     refreshed: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def apply_snapshot(
@@ -106,7 +110,8 @@
             for known in self._existing()
             if known.key not in current and not self._may_be_written_again(known)
         ]
-        return self._merge((*snapshot.records, *deleted))
+        # Deletions come first, since they make room.
+        return self._merge((*deleted, *snapshot.records))
 
     def apply_changes(
         self, records: tuple[events.RecordRead, ...], revision: int, now_ms: float
@@ -272,9 +277,13 @@
         changed = []
         for record in records:
             known = self.records.get(record.key)
-            if known is None or record.revision > known.revision:
-                self.records[record.key] = record
-                changed.append(record)
+            if known is not None and record.revision <= known.revision:
+                continue
+            if not self.records.has_room_for(record):
+                self.ignored_count += 1
+                continue
+            self.records[record.key] = record
+            changed.append(record)
         self._prune_tombstones()
         return tuple(sorted(changed, key=operator.attrgetter('revision')))
 
--- a/tests/gateway/test_store_replica.py
+++ b/tests/gateway/test_store_replica.py
@@ -8,10 +8,12 @@
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import record_table
 from rhubarbspar.gateway import store_replica
 from rhubarbspar.peers import codec
 from rhubarbspar.peers import registry
 from rhubarbspar.platform import errors
+from tests.gateway import conftest
 
 VALUE_MAX_BYTES = 1_048_576
 BATCH_BYTES = 60
@@ -38,6 +40,43 @@
                 replica.note_change(changed)
 
 
+def test_replica_without_room_keeps_what_it_has(gateway):
+    """Guards against a store whose changes without end fill the memory.
+
+    Deletions make room again.
+    """
+    replica = gateway.state.replica
+    replica.records.max_bytes = 40 * events.RECORD_OVERHEAD_BYTES
+    outputs = []
+    for number in range(100):
+        server = conftest.make_server(f's-{number}', sequence=number)
+        outputs.extend(gateway.declare(f'servers/s-{number}', server))
+    known = [key for key, record in replica.records.items() if record.content is not None]
+    assert 30 < len(known) < 40
+    assert 'stock-1' in gateway.state.servers.views
+    assert 's-99' not in gateway.state.servers.views
+    assert 'records_ignored' in {
+        output.name for output in outputs if isinstance(output, core_effects.Log)
+    }
+    for key in known[-10:]:
+        gateway.declare(key, None)
+    gateway.declare('servers/s-99', conftest.make_server('s-99'))
+    assert 's-99' in gateway.state.servers.views
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(writes=WRITES)
+def test_size_of_a_replica_is_that_of_its_records(writes):
+    """Guards against a replica that seems full, or empty, after many changes."""
+    table = record_table.RecordTable(events.RECORD_OVERHEAD_BYTES * 3)
+    replica = store_replica.StoreReplica(records=table)
+    write_all(replica, writes)
+    for key in KEYS[:2]:
+        replica.apply_changes((events.RecordRead(key, 100, None),), 100, 0)
+    assert table.size_bytes == sum(record.size_bytes for record in table.values())
+    assert table.size_bytes <= table.max_bytes
+
+
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
 @hypothesis.given(writes=WRITES, lost=strategies.sets(strategies.integers(0, LOST_MAX)))
 def test_peer_has_all_changes_after_lost_batches_were_sent_again(writes, lost):
