Bound what a stranger may send at the port for peers

A connection to the port for peers may send a request of 128 headers of 8 KiB each and then frames of 1.1 MB, for a second, before it has proved who it is; nothing bounded the sum. 60 connections that sent headers took a gateway to 175 MB (GATEWAY_MEMORY_MB=200, planned 120), 100 that sent a frame to 121 MB. A connection is now closed after 8 KiB until its peer is authenticated, and counted as opening_too_large.

The three cases of the test fail without the change: the reason is not known, and the connections stay until the timeout of the handshake.

--- a/rhubarbspar/peers/const.py
+++ b/rhubarbspar/peers/const.py
@@ -27,6 +27,9 @@
 TOKEN_ALGORITHM: typing.Final = 'HS256'
 NONCE_BYTES: typing.Final = 16
 
+# What an incoming connection may send before it is authenticated: the request of the websocket and
+# the proof of the dialler.
+OPENING_MAX_BYTES: typing.Final = 8192
 # Incoming handshakes at the same time.
 HANDSHAKES_MAX: typing.Final = 64
 RECEIVE_QUEUE_MAX_FRAMES: typing.Final = 16
@@ -43,6 +46,7 @@
 REASON_FRAME_TOO_LARGE: typing.Final = 'frame_too_large'
 REASON_HANDSHAKE_FAILED: typing.Final = 'handshake_failed'
 REASON_NOT_CONNECTED: typing.Final = 'not_connected'
+REASON_OPENING_TOO_LARGE: typing.Final = 'opening_too_large'
 REASON_OWN_ADDRESS: typing.Final = 'own_address'
 REASON_SEND_QUEUE_FULL: typing.Final = 'send_queue_full'
 REASON_TOO_MANY_HANDSHAKES: typing.Final = 'too_many_handshakes'
--- a/rhubarbspar/peers/transport.py
+++ b/rhubarbspar/peers/transport.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import ipaddress
 import logging
 import socket
@@ -22,6 +23,7 @@
 from rhubarbspar.peers import const
 from rhubarbspar.peers import errors
 from rhubarbspar.peers import handshake
+from rhubarbspar.peers import opening
 from rhubarbspar.peers import registry
 
 # Failures are counted by reason; log lines of the websockets library would only repeat them.
@@ -96,13 +98,16 @@
 
     async def start(self) -> None:
         """Start listening for incoming connections."""
-        if self._bound_socket is not None:
-            self._server = await server.serve(self._accept, sock=self._bound_socket, **_OPTIONS)
-            return
+        listening: dict[str, typing.Any] = {'sock': self._bound_socket}
+        if self._bound_socket is None:
+            listening = {'host': self._settings.host, 'port': self._settings.port}
+        refuse = functools.partial(self._count, const.REASON_OPENING_TOO_LARGE)
+        # The library takes a class.
+        create: typing.Any = functools.partial(opening.OpeningConnection, refuse)
         self._server = await server.serve(
             self._accept,
-            self._settings.host,
-            self._settings.port,
+            create_connection=create,
+            **listening,
             **_OPTIONS,
         )
 
@@ -224,6 +229,7 @@
             return
         finally:
             self._pending_handshakes -= 1
+        opening.lift_bound(websocket)
         preferred = identity.instance_id < self._settings.instance_id
         peer = connection.PeerConnection(identity, websocket)
         await self._start_task(self._run_connection(peer, preferred=preferred))
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -48,6 +48,34 @@
     await _stop(low, high)
 
 
+_UPGRADE = (
+    b'GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n'
+    b'Sec-WebSocket-Key: MTIzNDU2Nzg5MDEyMzQ1Ng==\r\nSec-WebSocket-Version: 13\r\n\r\n'
+)
+# Head of a masked binary frame of 1 MiB, its mask, and the beginning of its content.
+_FRAME = b'\x82\xff' + (1_048_576).to_bytes(8, 'big') + bytes(4) + bytes(const.OPENING_MAX_BYTES)
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'GET / HTTP/1.1\r\n' + b'x-more: %b\r\n' % bytes(1000) * 20,
+        b'GET /%b' % bytes(const.OPENING_MAX_BYTES),
+        _UPGRADE + _FRAME,
+    ],
+    ids=['headers', 'request line', 'frame'],
+)
+async def test_stranger_that_sends_much_is_disconnected(make_node: MakeNode, sent: bytes) -> None:
+    """Guards against strangers at the port for peers whose bytes fill the memory."""
+    low, high = await _connect(make_node)
+    reader, writer = await asyncio.open_connection('127.0.0.1', high.transport.port)
+    writer.write(sent)
+    await high.until(lambda: high.count(const.REASON_OPENING_TOO_LARGE) == 1)
+    writer.close()
+    assert high.transport.peer_ids == ['a']
+    await _stop(low, high)
+
+
 async def test_redial_replaces_the_connection(make_node: MakeNode) -> None:
     """Guards against a second connection to one peer, or a missing ``PeerDisconnected``."""
     low, high = await _connect(make_node)
