Read settings only up to a size, and only from a regular file

A running gateway read whatever its settings file had become: without a writer, a pipe made the process stand still for ever, and /dev/zero or a file of 1 GB filled its memory, at a start as well. Settings of more than 256 KiB are now refused as unreadable, and a running gateway keeps its last settings while the path names no regular file. The comparison with the file moves out of daemon.py into settings_watch.py.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import importlib
-import pathlib
 import signal
 import sys
 import time
@@ -26,6 +25,7 @@
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import settings_wait
+from rhubarbspar.gateway import settings_watch
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_tasks
 from rhubarbspar.gateway import supervision
@@ -69,9 +69,8 @@
     ) -> None:
         """Create all parts without opening a socket."""
         self._budget = initial_state.make_budget(memory_mb)
-        self._settings_path = pathlib.Path(settings_path)
         self._settings = settings
-        self._settings_text = self._read_settings_text()
+        self._settings_watch = settings_watch.SettingsWatch(settings_path)
         self._reactor = reactor
         self._counters = metrics.Metrics(settings.instance_id)
         self._member = initial_state.make_member(settings)
@@ -126,11 +125,8 @@
 
     def reload(self) -> None:
         """Read the settings again; if they are absent or invalid, the last ones stay in force."""
-        text = self._read_settings_text()
-        if text is not None:
-            self._settings_text = text
         try:
-            settings = gateway_settings.load(self._settings_path)
+            settings = self._settings_watch.load()
         except exceptions.RhubarbsparError as error:
             self._driver.report(core_effects.Log('settings_invalid', (('error', str(error)),)))
             return
@@ -219,16 +215,9 @@
         While the file is absent, the settings stay in force.
         """
         self._driver.report_dropped_lines()
-        text = self._read_settings_text()
-        if text not in {None, self._settings_text}:
+        if self._settings_watch.has_changed():
             self.reload()
 
-    def _read_settings_text(self) -> bytes | None:
-        try:
-            return self._settings_path.read_bytes()
-        except OSError:
-            return None
-
     def _exit(self) -> None:
         # The delay lets the last responses be written before the process ends.
         self._reactor.callLater(_EXIT_DELAY_S, self._reactor.stop)
--- a/rhubarbspar/helpers/jsonc.py
+++ b/rhubarbspar/helpers/jsonc.py
@@ -48,18 +48,23 @@
         )
 
 
-def load(path: str | pathlib.Path) -> Document:
+def load(path: str | pathlib.Path, max_bytes: int | None = None) -> Document:
     """Read and parse a file.
 
+    Parameters
+    ----------
+    max_bytes
+        Size up to which it is read; without a bound if omitted.
+
     Raises
     ------
     errors.UnreadableFileError
-        If the file cannot be read.
+        If the file cannot be read, or is larger.
     errors.InvalidFileError
         If it is not JSON with comments, repeats a key or is not an object.
     """
     try:
-        text = pathlib.Path(path).read_text(encoding='utf-8-sig')
+        text = _read(path, max_bytes).decode('utf-8-sig')
     except OSError as error:
         raise errors.UnreadableFileError(f'{path}: {error.strerror}') from error
     except UnicodeDecodeError as error:
@@ -67,6 +72,16 @@
     return parse(text, str(path))
 
 
+def _read(path: str | pathlib.Path, max_bytes: int | None) -> bytes:
+    with pathlib.Path(path).open('rb') as opened:
+        if max_bytes is None:
+            return opened.read()
+        content = opened.read(max_bytes + 1)
+    if len(content) > max_bytes:
+        raise errors.UnreadableFileError(f'{path}: larger than {max_bytes} bytes')
+    return content
+
+
 def parse(text: str, file_name: str) -> Document:
     """Parse a text; raise ``errors.InvalidFileError`` as ``load`` does."""
     try:
--- a/rhubarbspar/helpers/settings_file.py
+++ b/rhubarbspar/helpers/settings_file.py
@@ -10,6 +10,9 @@
 from rhubarbspar.helpers import schema
 from rhubarbspar.helpers import secret_fields
 
+# The file is kept and parsed as a whole; a path may name a device without an end.
+SETTINGS_MAX_BYTES: typing.Final = 262_144
+
 _Model = typing.TypeVar('_Model')
 
 
@@ -28,7 +31,7 @@
     errors.InvalidFileError
         If the file is invalid; names file, line and key of every error.
     """
-    document = jsonc.load(path)
+    document = jsonc.load(path, SETTINGS_MAX_BYTES)
     members = schema.validate(document, members_schema)
     secrets = secret_fields.resolve(document, members, secret_min_chars)
     return schema.structure({**members, **secrets}, model)
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -1,6 +1,7 @@
 """End-to-end tests in one process: caller, gateway, store and a backend server over sockets."""
 
 import json
+import os
 
 import pytest
 
@@ -191,6 +192,29 @@
     deployment.loop.run(scenario())
 
 
+def make_large_file(path):
+    """Make a file without content that seems to hold 1 GB."""
+    with path.open('wb') as opened:
+        opened.truncate(10**9)
+
+
+@pytest.mark.parametrize(
+    'replace', [os.mkfifo, lambda path: path.symlink_to('/dev/zero'), make_large_file]
+)
+def test_settings_without_end_leave_the_last_ones_in_force(deployment, replace):
+    """Guards against a process that stands still or ends when its settings become something else."""
+    path = deployment.first.settings_path
+    text = path.read_text()
+    path.unlink()
+    replace(path)
+    deployment.gateway._check_settings()
+    deployment.gateway.reload()
+    path.unlink()
+    path.write_text(text.replace('"5s"', '"4s"'))
+    deployment.gateway._check_settings()
+    assert deployment.gateway._state.bounds.stop_grace_ms == 4000
+
+
 def test_settings_that_go_away_while_a_gateway_starts_are_no_fault(loop, tmp_path):
     """Guards against a process that ends because its settings are away for a moment."""
     path = tmp_path / 'settings.jsonc'
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -120,6 +120,12 @@
         load({name: text for name, text in VALUES.items() if name != missing})
 
 
+def test_settings_without_end_are_unreadable():
+    """Guards against a start that reads a device until the memory is used up."""
+    with pytest.raises(errors.UnreadableFileError, match='larger than'):
+        settings.load('/dev/zero')
+
+
 def test_own_names_of_bounds_go_first(tmp_path, settings_path):
     """Guards against files written by hand whose bounds are not read."""
     text = settings_path.read_text()
