--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import importlib
-import pathlib
 import signal
 import sys
 import time
@@ -26,6 +25,7 @@
 from rhubarbspar.gateway import process_usage
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import settings_wait
+from rhubarbspar.gateway import settings_watch
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_tasks
 from rhubarbspar.gateway import supervision
@@ -69,14 +69,14 @@
     ) -> None:
         """Create all parts without opening a socket."""
         self._budget = initial_state.make_budget(memory_mb)
-        self._settings_path = pathlib.Path(settings_path)
         self._settings = settings
-        self._settings_text = self._read_settings_text()
+        self._settings_watch = settings_watch.SettingsWatch(settings_path)
         self._reactor = reactor
         self._counters = metrics.Metrics(settings.instance_id)
         self._counters.add_gauges(process_usage.read_gauges)
         self._member = initial_state.make_member(settings)
-        self._state = initial_state.create(settings, self._member)
+        store_limits = initial_state.make_store_limits(settings, self._budget)
+        self._state = initial_state.create(settings, self._member, store_limits)
         process = effect_driver.Process(
             lambda: self._listeners.caller_site.close_idle(),
             lambda: self._listeners.stop_accepting(),
@@ -89,7 +89,7 @@
         self._backends = backend_client.BackendClient(reactor, deliver, clock_ms, self._budget)
         self._store = store_tasks.StoreTasks(
             reactor,
-            store.Store(reactor, settings.store_address, clock_ms),
+            store.Store(reactor, settings.store_address, clock_ms, store_limits, self._budget),
             self._member,
             deliver,
             self._driver.report,
@@ -134,11 +134,8 @@
 
     def reload(self) -> None:
         """Read the settings again; if they are absent or invalid, the last ones stay in force."""
-        text = self._read_settings_text()
-        if text is not None:
-            self._settings_text = text
         try:
-            settings = gateway_settings.load(self._settings_path)
+            settings = self._settings_watch.load()
         except exceptions.RhubarbsparError as error:
             self._driver.report(core_effects.Log('settings_invalid', (('error', str(error)),)))
             return
@@ -232,16 +229,9 @@
         """
         self._driver.report_dropped_lines()
         self._memory_watch.check()
-        text = self._read_settings_text()
-        if text not in {None, self._settings_text}:
+        if self._settings_watch.has_changed():
             self.reload()
 
-    def _read_settings_text(self) -> bytes | None:
-        try:
-            return self._settings_path.read_bytes()
-        except OSError:
-            return None
-
     def _exit(self) -> None:
         if self._is_exiting:
             return
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -2,10 +2,15 @@
 
 import dataclasses
 import enum
+import typing
 
 from rhubarbspar.core import events
 from rhubarbspar.gateway import models
 
+# Memory of a record besides its key and content: the objects that hold it and its decoded form.
+RECORD_OVERHEAD_BYTES: typing.Final = 2048
+TOMBSTONE_OVERHEAD_BYTES: typing.Final = 512
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestReceived(events.Event):
@@ -125,6 +130,13 @@
     revision: int
     content: bytes | None
 
+    @property
+    def size_bytes(self) -> int:
+        """Return about how much memory the record and its decoded form take."""
+        if self.content is None:
+            return TOMBSTONE_OVERHEAD_BYTES + len(self.key)
+        return RECORD_OVERHEAD_BYTES + len(self.key) + len(self.content)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSnapshot(events.Event):
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -7,11 +7,13 @@
 from rhubarbspar.gateway import fleet
 from rhubarbspar.gateway import memory_limits
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import record_table
 from rhubarbspar.gateway import rollout_schedule
 from rhubarbspar.gateway import rollouts
 from rhubarbspar.gateway import selection
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway import store_replica
 from rhubarbspar.helpers import addresses
 from rhubarbspar.http1 import memory
 from rhubarbspar.peers import transport
@@ -20,7 +22,11 @@
 _INCARNATION_BYTES: typing.Final = 6
 
 
-def create(settings: gateway_settings.Settings, member: models.Member) -> gateway_state.State:
+def create(
+    settings: gateway_settings.Settings,
+    member: models.Member,
+    store_limits: memory_limits.StoreLimits,
+) -> gateway_state.State:
     """Return the state of a gateway before its first event."""
     return gateway_state.State(
         decode=records.decode,
@@ -30,6 +36,9 @@
         network=selection.NetworkTopology(
             settings.failure_domain, settings.region, settings.regions
         ),
+        replica=store_replica.StoreReplica(
+            records=record_table.RecordTable(store_limits.records_max_bytes)
+        ),
         rollouts=rollouts.Rollouts(exposure=exposure_limits(settings)),
     )
 
@@ -51,6 +60,14 @@
     return memory_limits.make_budget(memory_mb)
 
 
+def make_store_limits(
+    settings: gateway_settings.Settings, process_budget: memory.MemoryBudget
+) -> memory_limits.StoreLimits:
+    """Return what the process takes from the store."""
+    content_max_bytes = settings.bounds.store_content_bytes
+    return memory_limits.make_store_limits(process_budget, content_max_bytes)
+
+
 def make_member(settings: gateway_settings.Settings) -> models.Member:
     """Return the registration of this instance under a new random incarnation."""
     return models.Member(
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -1,7 +1,6 @@
 """HTTP client of the platform's key-value store."""
 
 import base64
-import dataclasses
 import json
 import typing
 from collections import abc
@@ -11,13 +10,16 @@
 
 from rhubarbspar import const as package_const
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import memory_limits
 from rhubarbspar.gateway import revisions
 from rhubarbspar.helpers import addresses
 from rhubarbspar.helpers import durations
 from rhubarbspar.http1 import bodies
 from rhubarbspar.http1 import client
 from rhubarbspar.http1 import errors as http_errors
+from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
+from rhubarbspar.platform import answers
 from rhubarbspar.platform import const
 from rhubarbspar.platform import errors
 
@@ -28,22 +30,8 @@
 IDLE_MAX_MS: typing.Final = 20_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Answer:
-    """The decoded body of an answer, and the era of the store that gave it."""
-
-    document: typing.Any
-    era: int
-
-    @property
-    def revision(self) -> int:
-        """Return the revision of the store at the answer."""
-        return revisions.combine(self.era, self.document['at'])
-
-
 # Value of the query parameter that permits a stale answer.
 _STALE_ALLOWED: typing.Final = '1'
-_NO_DOCUMENT: typing.Final = b'null'
 
 
 class Store:
@@ -57,17 +45,29 @@
         ``host:port`` of the store.
     clock_ms
         Monotonic clock of the process.
+    limits
+        What the store may answer.
+    budget
+        The budget of the process; the answers draw on a part of it, so that they do not wait for
+        other messages.
     """
 
     def __init__(
-        self, reactor: typing.Any, address: str, clock_ms: abc.Callable[[], float]
+        self,
+        reactor: typing.Any,
+        address: str,
+        clock_ms: abc.Callable[[], float],
+        limits: memory_limits.StoreLimits,
+        budget: memory.MemoryBudget,
     ) -> None:
         """Prepare the connection pool; the first call opens a connection."""
         host, port = addresses.split_host_port(address)
         self._reactor = reactor
         self._host = address.encode()
         endpoint = client.Endpoint(host, port)
-        self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS)
+        self._limits = limits
+        part = budget.part(limits.answer_max_bytes)
+        self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS, part)
         self._calls: set[client.Call] = set()
         # Number of times that the store was restored, by its answers; 0 if it does not tell.
         self.era = 0
@@ -77,8 +77,17 @@
 
         The records come in pages and form no snapshot. Changes that the pages miss are newer than
         the returned revision, so that a watch from it delivers them.
+
+        Raises
+        ------
+        errors.TooLargeError
+            If the records are larger than the limits permit.
+        errors.MalformedAnswerError
+            If a page repeats the end of an earlier one, or is empty and not the last.
         """
         records: list[events.RecordRead] = []
+        size_bytes = 0
+        seen: set[str] = set()
         first_revision: int | None = None
         after = ''
         while True:
@@ -88,10 +97,14 @@
             first_revision = answer.revision if first_revision is None else first_revision
             if answer.era != revisions.era_of(first_revision):
                 raise errors.RestoredError('the store was restored between two pages')
-            records.extend(_decode_record(row, answer.era) for row in answer.document['items'])
-            if not answer.document.get('hasMore') or not records:
+            page = answer.records('items')
+            records.extend(page)
+            size_bytes += sum(record.size_bytes for record in page)
+            self._check_size(size_bytes)
+            if not answer.has_more:
                 return tuple(records), first_revision
-            after = records[-1].key
+            after = _end_of_page(page, seen)
+            seen.add(after)
 
     async def watch(
         self, prefix: str, after: int, wait_ms: int
@@ -116,8 +129,7 @@
             raise
         if answer.era != revisions.era_of(after):
             raise errors.RestoredError('the store was restored since the last change')
-        changes = tuple(_decode_record(row, answer.era) for row in answer.document['events'])
-        return changes, answer.revision
+        return answer.records('events'), answer.revision
 
     async def read(self, key: str, *, allow_stale: bool = False) -> events.RecordRead | None:
         """Return one record, or ``None`` if its key does not exist."""
@@ -128,7 +140,7 @@
             if error.status == const.STATUS_NOT_FOUND:
                 return None
             raise
-        return _decode_record(answer.document, answer.era)
+        return answer.record()
 
     async def put_if(self, key: str, content: bytes, revision: int | None, lease: int = 0) -> bool:
         """Write a record if its key has the given revision; return whether it was written.
@@ -160,8 +172,7 @@
         """Create a lease and return its id."""
         body = {'ttl_time': durations.format_ms(ttl_ms)}
         answer = await self._exchange(b'POST', '/kv-lease', {}, body)
-        lease: int = answer.document['lease']
-        return lease
+        return answer.lease()
 
     async def renew_lease(self, lease: int) -> bool:
         """Restart a lease's time to live; return false if the lease no longer exists."""
@@ -190,34 +201,30 @@
         query: dict[str, str],
         body: typing.Any = None,
         timeout_ms: float = CALL_TIMEOUT_MS,
-    ) -> _Answer:
+    ) -> answers.Answer:
         target = '?'.join((path, urls.urlencode(query))) if query else path
         content = b'' if body is None else json.dumps(body).encode()
         headers = ((b'host', self._host), (b'content-type', b'application/json'))
         request = messages.Request(method, target.encode(), headers, content)
         outcome = await self._send(request, timeout_ms)
-        if isinstance(outcome, http_errors.HttpError):
-            raise errors.StoreError(str(outcome)) from outcome
-        era = self._check_era(outcome)
+        match outcome:
+            case http_errors.TooLargeError():
+                limit_bytes = self._limits.answer_max_bytes
+                raise errors.TooLargeError(
+                    f'the answer is larger than {limit_bytes} bytes'
+                ) from outcome
+            case http_errors.HttpError():
+                raise errors.StoreError(str(outcome)) from outcome
+        self.era = answers.decode_era(outcome.headers, self.era)
         if outcome.status != const.STATUS_OK:
             raise errors.StoreRejectedError(outcome.status)
-        try:
-            return _Answer(json.loads(bodies.join(outcome.body) or _NO_DOCUMENT), era)
-        except (RecursionError, ValueError) as error:
-            raise errors.StoreError('answer of the store is not JSON') from error
-
-    def _check_era(self, response: messages.Response) -> int:
-        """Return the era that an answer names; the last one if it names none."""
-        raw = messages.find_header(response.headers, const.HEADER_STORE_ERA)
-        if raw is None:
-            return self.era
-        if not raw.isdigit():
-            raise errors.StoreError('the store names no valid era')
-        era = int(raw)
-        if era < self.era:
-            raise errors.StoreError('the answer is older than the restore of the store')
-        self.era = era
-        return era
+        return answers.decode(bodies.join(outcome.body), self.era, self._limits.elements_max)
+
+    def _check_size(self, records_bytes: int) -> None:
+        """Raise an error if the records that were read exceed their limit."""
+        limit_bytes = self._limits.records_max_bytes
+        if records_bytes > limit_bytes:
+            raise errors.TooLargeError(f'the records take more than {limit_bytes} bytes')
 
     async def _send(self, request: messages.Request, timeout_ms: float) -> client.Outcome:
         finished: defer.Deferred[client.Outcome] = defer.Deferred()
@@ -239,8 +246,8 @@
         call.abort(http_errors.BrokenError('store did not answer in time'))
 
 
-def _decode_record(row: dict[str, typing.Any], era: int) -> events.RecordRead:
-    revision = revisions.combine(era, row['revision'])
-    if row.get('tombstone'):
-        return events.RecordRead(row['key'], revision, None)
-    return events.RecordRead(row['key'], revision, base64.b64decode(row['value']))
+def _end_of_page(page: tuple[events.RecordRead, ...], seen: abc.Set[str]) -> str:
+    """Return the last key of a page that has another one behind it; it must be a new one."""
+    if not page or page[-1].key in seen:
+        raise errors.MalformedAnswerError('the pages of the store do not advance')
+    return page[-1].key
