Bound the trailers and chunk extensions of requests

One caller that sent a trailer without end behind a chunked body filled the memory of the process, outside its budget: the limit of heads applied until the head was complete only, and the limit of bodies does not see trailers. Many trailers filled the budget, so that others had to wait for it. Trailers were also passed on as headers, a second Host or an Authorization that routing had not seen among them.

Bytes behind the head that are no part of the body now have the limit of the head (431), as those of servers already had, and trailers are dropped (RFC 9110, section 6.5.1).

The four tests failed before: no refusal, and the trailers among the headers.

--- a/rhubarbspar/http1/request_parser.py
+++ b/rhubarbspar/http1/request_parser.py
@@ -27,6 +27,8 @@
         Received bytes of an incomplete head.
     header_bytes
         Memory of the headers.
+    trailer_bytes
+        Bytes received since the last part of the body: trailers, chunk extensions.
     is_screened
         Whether its head was accepted before its body was read.
     """
@@ -39,6 +41,7 @@
     announced_bytes: int | None = None
     head_bytes: int = 0
     header_bytes: int = 0
+    trailer_bytes: int = 0
     target: bytearray = dataclasses.field(default_factory=bytearray)
     headers: list[messages.Header] = dataclasses.field(default_factory=list)
     body: bodies.BlockBuffer = dataclasses.field(default_factory=bodies.BlockBuffer)
@@ -46,7 +49,8 @@
     @property
     def held_bytes(self) -> int:
         """Return the memory that the request takes as far as it has arrived."""
-        return max(self.head_bytes, self.header_bytes) + len(self.target) + len(self.body)
+        head_bytes = max(self.head_bytes, self.header_bytes) + len(self.target)
+        return head_bytes + len(self.body) + self.trailer_bytes
 
     @property
     def body_bytes(self) -> int:
@@ -103,6 +107,9 @@
             If they are malformed, or ask for another protocol.
         """
         self._completed_in_chunk = False
+        if self.partial.head_complete:
+            # The first part of the body in the chunk sets this to 0 again.
+            self.partial.trailer_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade as error:
@@ -146,7 +153,9 @@
         self.partial.target += part
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Store a header with its name in lower case."""
+        """Store a header with its name in lower case; drop a trailer (RFC 9110, section 6.5.1)."""
+        if self.partial.head_complete:
+            return
         self.partial.headers.append((name.lower(), content))
         self.partial.header_bytes += len(name) + len(content) + memory.HEADER_OVERHEAD_BYTES
 
@@ -163,6 +172,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Append to the body."""
+        self.partial.trailer_bytes = 0
         if not self._stopped:
             self.partial.body.append(part)
 
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -400,9 +400,9 @@
 def _find_excess(partial: request_parser.PartialRequest, site: Site) -> messages.Response | None:
     """Return the response that refuses a request which exceeds a limit."""
     limits = site.limits()
+    if max(partial.head_bytes, partial.trailer_bytes) > limits.header_max_bytes:
+        return messages.Response(const.STATUS_HEADERS_TOO_LARGE, keep_alive=False)
     if not partial.head_complete:
-        if partial.head_bytes > limits.header_max_bytes:
-            return messages.Response(const.STATUS_HEADERS_TOO_LARGE, keep_alive=False)
         return None
     if partial.body_bytes > limits.body_max_bytes:
         return messages.Response(const.STATUS_CONTENT_TOO_LARGE, keep_alive=False)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -168,6 +168,37 @@
     assert not served.exchanges
 
 
+CHUNKED = b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1%b\r\na\r\n0\r\n%b'
+
+
+@pytest.mark.parametrize(
+    ('first', 'part'),
+    [
+        (CHUNKED % (b'', b'x: '), b'y' * 300),
+        (CHUNKED % (b'', b''), b'x: y\r\n' * 50),
+        (CHUNKED.partition(b'%b')[0] + b';', b'y' * 300),
+    ],
+    ids=['trailer', 'trailers', 'chunk extension'],
+)
+def test_bytes_without_end_behind_a_head_are_refused(served, first, part):
+    """Guards against a client that fills the memory with bytes that are no body."""
+    served.receive(first)
+    for _ in range(3):
+        served.receive(part)
+        assert not served.sent
+    served.receive(part)
+    assert served.sent.startswith(b'HTTP/1.1 431 ')
+    assert not served.site.budget.held_bytes
+
+
+def test_trailers_are_no_headers(served):
+    """Guards against a host or a key that a client adds behind the body, unseen by routing."""
+    served.receive(CHUNKED % (b';e=1', b'Host: b\r\nAuthorization: Bearer k\r\n\r\n'))
+    (exchange,) = served.exchanges
+    assert exchange.request.headers == ((b'host', b'a'), (b'transfer-encoding', b'chunked'))
+    assert exchange.request.body == b'a'
+
+
 def test_malformed_request_is_refused_once_behind_pending_ones(served):
     """Guards against further responses that a client takes for those of other requests."""
     served.receive(GET % 1)
