--- a/tests/gateway/test_stop_series.py
+++ b/tests/gateway/test_stop_series.py
@@ -26,6 +26,8 @@
 WORK_MAX_S = 0.3
 BODY_BYTES = 300_000
 DEADLINE_MS = 3000
+# Enough for all callers at once, so that none is refused for lack of them.
+SLOTS = 60
 ROUTES = (
     ['r-1', 'shop.example', '/stock/', 'safe', '4s', 'stock'],
     ['r-2', 'shop.example', '/orders/', 'unsafe', '4s', 'stock'],
@@ -149,6 +151,9 @@
         routes = {'columns': columns, 'rows': ROUTES}
         configuration = {**gateway_deployment.CONFIGURATION, 'version': 'r2', 'routes': routes}
         self.store.put('op/config', json.dumps(configuration).encode())
+        self.declare('ready', 2, slots=SLOTS)
+        load = (b'x-rhubarbspar-server-load', b'1,0,%d' % SLOTS)
+        self.server_headers = (*gateway_deployment.SERVER_HEADERS[:1], load)
 
     async def until_ready(self, gateways):
         """Wait until all gateways are ready."""
