--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -158,14 +158,14 @@
         record = {**CONFIGURATION, 'version': f'r{version}', 'routes': routes}
         self.store.put('op/config', json.dumps(record).encode())
 
-    def declare(self, state, sequence, server_id='s-1', port=None):
+    def declare(self, state, sequence, server_id='s-1', port=None, slots=3):
         """Register the backend server, or another one at a port, in a state and under an id."""
         record = {
             'service': 'stock',
             'address': f'127.0.0.1:{port or self.server_port}',
             'zone': 'almaty-a',
             'version': 'v1',
-            'slots': 3,
+            'slots': slots,
             'state': state,
             'seqNo': sequence,
         }
