Keep long keys of objects as a digest

The history of recent requests keeps 10,000 objects by the key that the caller names in a cookie, which may be as long as a head permits: 16 KiB each, 160 MB in all. Keys of more than 64 characters are now kept as a digest.

The test fails without the change: a key of 15,001 characters is kept.

--- a/rhubarbspar/gateway/affinity.py
+++ b/rhubarbspar/gateway/affinity.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import enum
+import hashlib
 import itertools
 import types
 import typing
@@ -60,6 +61,9 @@
 # Bounds of the history: objects, and servers of each object.
 OBJECTS_MAX: typing.Final = 10_000
 SERVERS_MAX: typing.Final = 16
+# Longer keys of objects are kept as a digest; a caller chooses them.
+KEY_MAX_CHARS: typing.Final = 64
+_DIGEST_BYTES: typing.Final = 16
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,7 +73,7 @@
     Attributes
     ----------
     sent_ms
-        Times by server id, by object key; least recently requested objects first.
+        Times by server id, by object key or its digest; least recently requested objects first.
     """
 
     sent_ms: collections.OrderedDict[str, dict[str, float]] = dataclasses.field(
@@ -78,9 +82,10 @@
 
     def record(self, object_key: str, server_id: str, now_ms: float) -> None:
         """Add a request; drop the oldest server or object if a bound is exceeded."""
-        by_server = self.sent_ms.setdefault(object_key, {})
+        kept_key = _shorten(object_key)
+        by_server = self.sent_ms.setdefault(kept_key, {})
         by_server[server_id] = now_ms
-        self.sent_ms.move_to_end(object_key)
+        self.sent_ms.move_to_end(kept_key)
         if len(by_server) > SERVERS_MAX:
             by_server.pop(min(by_server, key=by_server.__getitem__))
         if len(self.sent_ms) > OBJECTS_MAX:
@@ -94,7 +99,7 @@
         list of tuple
             Server ids and gains.
         """
-        by_server = self.sent_ms.get(object_key)
+        by_server = self.sent_ms.get(_shorten(object_key))
         if by_server is None:
             return []
         return [
@@ -104,6 +109,15 @@
         ]
 
 
+def _shorten(object_key: str) -> str:
+    """Return a key of bounded length that stands for an object."""
+    if len(object_key) <= KEY_MAX_CHARS:
+        return object_key
+    return hashlib.blake2b(
+        object_key.encode(errors='surrogatepass'), digest_size=_DIGEST_BYTES
+    ).hexdigest()
+
+
 def _gain_after(age_ms: float) -> float:
     """Return the gain a time after the last request: constant at first, then linear down to 0."""
     remaining = (EVICTED_MS - age_ms) / (EVICTED_MS - RECENT_MS)
--- a/tests/gateway/test_affinity.py
+++ b/tests/gateway/test_affinity.py
@@ -32,6 +32,16 @@
     assert set(forward.values()) == set(affinity.MIN_GAINS)
 
 
+def test_history_keeps_no_long_keys():
+    """Guards against callers whose long keys of objects fill the memory."""
+    history = affinity.ObjectHistory()
+    for number in range(3):
+        history.record('x' * 15_000 + str(number), f's{number}', 0)
+    assert max(map(len, history.sent_ms)) <= affinity.KEY_MAX_CHARS
+    ((server_id, _gain),) = history.gains('x' * 15_000 + '1', 0)
+    assert server_id == 's1'
+
+
 def test_first_two_servers_are_in_the_own_region():
     """Guards against transfers between regions for objects that are requested in one region."""
     by_domain = {view.server.server_id: view.server.failure_domain for view in views()}
