Bound the queues to all peers together

Each peer that does not read may have 8 MB queued for it, and nothing bounded the sum: 75 peers, 600 MB. All queues together now hold up to 32 MiB, of which a tenth is left to queues of up to 128 KiB, so that heartbeats to peers that read are still sent. What does not fit counts as send_queue_full as before; changes of the store are sent again.

The test fails without the change: no message is refused.

--- a/rhubarbspar/peers/connection.py
+++ b/rhubarbspar/peers/connection.py
@@ -7,6 +7,7 @@
 import websockets
 from websockets.asyncio import connection as websocket_connection
 
+from rhubarbspar.http1 import memory
 from rhubarbspar.peers import const
 from rhubarbspar.peers import handshake
 
@@ -20,6 +21,8 @@
         Authenticated identity of the other instance.
     websocket
         The open websocket.
+    budget
+        Bounds what the queues to all peers hold.
 
     Attributes
     ----------
@@ -31,25 +34,27 @@
         self,
         identity: handshake.Identity,
         websocket: websocket_connection.Connection,
+        budget: memory.MemoryBudget,
     ) -> None:
         self.identity = identity
         self.preferred = False
         self._websocket = websocket
         self._send_queue: collections.deque[bytes] = collections.deque()
-        self._queued_bytes = 0
+        self._share = memory.Share(budget)
         self._queue_changed = asyncio.Event()
         self._closing = False
 
     def enqueue(self, frame: bytes) -> bool:
         """Queue a frame for sending; return whether the queue had room."""
-        queued_bytes = self._queued_bytes + len(frame)
+        queued_bytes = self._share.size_bytes + len(frame)
         if (
             queued_bytes > const.SEND_QUEUE_MAX_BYTES
             or len(self._send_queue) >= const.SEND_QUEUE_MAX_FRAMES
+            or not self._share.budget.fits(self._share, queued_bytes)
         ):
             return False
         self._send_queue.append(frame)
-        self._queued_bytes = queued_bytes
+        self._share.hold(queued_bytes)
         self._queue_changed.set()
         return True
 
@@ -57,7 +62,7 @@
         """Close the connection at once and discard queued frames."""
         self._closing = True
         self._send_queue.clear()
-        self._queued_bytes = 0
+        self._share.release()
         self._queue_changed.set()
         self._websocket.transport.abort()
 
@@ -95,4 +100,4 @@
         # ``abort`` may have cleared the queue while the frame was being sent.
         if self._send_queue:
             self._send_queue.popleft()
-            self._queued_bytes -= len(frame)
+            self._share.hold(self._share.size_bytes - len(frame))
--- a/rhubarbspar/peers/const.py
+++ b/rhubarbspar/peers/const.py
@@ -34,6 +34,8 @@
 HANDSHAKES_MAX: typing.Final = 64
 RECEIVE_QUEUE_MAX_FRAMES: typing.Final = 16
 SEND_QUEUE_MAX_BYTES: typing.Final = 8_388_608
+# Upper bound of what the queues to all peers hold together.
+SEND_QUEUES_MAX_BYTES: typing.Final = 33_554_432
 SEND_QUEUE_MAX_FRAMES: typing.Final = 4096
 WRITE_BUFFER_MAX_BYTES: typing.Final = 262_144
 
--- a/rhubarbspar/peers/transport.py
+++ b/rhubarbspar/peers/transport.py
@@ -18,6 +18,7 @@
 from rhubarbspar.core import effects
 from rhubarbspar.core import events
 from rhubarbspar.core import messages
+from rhubarbspar.http1 import memory
 from rhubarbspar.peers import codec
 from rhubarbspar.peers import connection
 from rhubarbspar.peers import const
@@ -90,6 +91,7 @@
         self._dials: dict[str, tuple[str, asyncio.Task[None]]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._pending_handshakes = 0
+        self._send_budget = memory.MemoryBudget(const.SEND_QUEUES_MAX_BYTES)
         self._server: server.Server | None = None
         self._handshaker = handshake.Handshaker(
             handshake.Identity(settings.instance_id, settings.incarnation),
@@ -198,7 +200,9 @@
 
     async def _connect(self, peer_id: str, peer_address: str) -> None:
         try:
-            peer = await _open_connection(self._handshaker, peer_id, peer_address)
+            peer = await _open_connection(
+                self._handshaker, self._send_budget, peer_id, peer_address
+            )
         except errors.AddressError:
             self._count(const.REASON_ADDRESS_MALFORMED)
         except errors.HandshakeError:
@@ -231,7 +235,7 @@
             self._pending_handshakes -= 1
         opening.lift_bound(websocket)
         preferred = identity.instance_id < self._settings.instance_id
-        peer = connection.PeerConnection(identity, websocket)
+        peer = connection.PeerConnection(identity, websocket, self._send_budget)
         await self._start_task(self._run_connection(peer, preferred=preferred))
 
     async def _run_connection(self, peer: connection.PeerConnection, *, preferred: bool) -> None:
@@ -309,12 +313,13 @@
 
 async def _open_connection(
     handshaker: handshake.Handshaker,
+    send_budget: memory.MemoryBudget,
     peer_id: str,
     peer_address: str,
 ) -> connection.PeerConnection:
     websocket = await client.connect(_websocket_url(peer_address), proxy=None, **_OPTIONS)
     identity = await handshaker.dial(websocket, peer_id)
-    return connection.PeerConnection(identity, websocket)
+    return connection.PeerConnection(identity, websocket, send_budget)
 
 
 def _websocket_url(peer_address: str) -> str:
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -180,6 +180,32 @@
     await _stop(low, high)
 
 
+async def test_frames_to_all_peers_are_bounded_together(
+    make_node: MakeNode, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against many peers that do not read, each with a full queue.
+
+    Small messages to a peer that reads are still sent.
+    """
+    monkeypatch.setattr(const, 'SEND_QUEUES_MAX_BYTES', 4_000_000)
+    low, high = await _connect(make_node)
+    third = make_node('c')
+    await third.transport.start()
+    low.dial(third)
+    await low.until(lambda: events.PeerConnected('c', '1') in low.events)
+    large = routing_models.ForwardAnswer('1', body=bytes(1_000_000))
+    for _ in range(8):
+        low.transport.apply(effects.SendMessage('b', large))
+    refused = low.count(const.REASON_SEND_QUEUE_FULL)
+    assert refused > 4
+    low.transport.apply(effects.SendMessage('c', routing_models.ForwardCancel('1')))
+    assert low.count(const.REASON_SEND_QUEUE_FULL) == refused
+    await high.until(lambda: len(high.events) == 1 + 8 - refused)
+    low.transport.apply(effects.SendMessage('b', large))
+    assert low.count(const.REASON_SEND_QUEUE_FULL) == refused
+    await _stop(low, high, third)
+
+
 async def test_stop_sends_queued_messages_first(make_node: MakeNode) -> None:
     """Guards against losing queued answers at a planned stop."""
     low, high = await _connect(make_node)
