End a connection whose client takes no responses

Requests that are answered at once (metrics, readiness, look-ups, refusals) were answered without a bound while the client read nothing: the 7,000 requests in one read of a socket each got a response of some 10 KB, which all waited to be sent. 15 connections that pipelined requests for the metrics took a gateway to 153 MB within 6 s (GATEWAY_MEMORY_MB=200, planned 120), and its readiness check was not answered. Once 32 responses and more than 64 KiB of them are unsent, the requests behind are dropped and the connection closes after the responses, as behind a last one; clients send them again elsewhere.

The test fails without the change: 45 MB wait to be sent.

--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -246,10 +246,13 @@
     def receive_request(self, request: messages.Request, share: memory.Share) -> None:
         """Pass a request to the site; stop reading at ``PIPELINE_MAX`` pending requests.
 
-        A request behind the last one that is answered is dropped: the client sends it again.
+        A request behind the last one that is answered is dropped: the client sends it again. So
+        are those of a client that does not take the responses to many earlier ones.
         """
-        if self._reading.is_ending:
+        if self._reading.is_ending or self.writer.is_backlogged:
             share.release()
+            self._reading.is_ending = True
+            self._update_reading()
             return
         exchange = Exchange(self, request, share, keep_alive=self._parser.should_keep_alive())
         self._pending.append(exchange)
@@ -343,7 +346,9 @@
 
     def _note_sent(self) -> None:
         """Close the write side if the connection is to close."""
-        if self.closing:
+        if self._reading.is_ending and not (self._pending or self.closing):
+            self._close()
+        elif self.closing:
             transport: typing.Any = self.transport
             transport.loseWriteConnection()
             transport.reactor.callLater(const.LINGER_S, transport.loseConnection)
--- a/rhubarbspar/http1/writing.py
+++ b/rhubarbspar/http1/writing.py
@@ -33,6 +33,8 @@
         Whether the transport has sent everything.
     unsent_bytes
         Bytes that the transport has not got yet.
+    unsent_count
+        Messages written since the transport had sent everything.
     """
 
     def __init__(
@@ -47,11 +49,17 @@
         self._on_sent = on_sent
         self._parts: collections.deque[memoryview] = collections.deque()
         self.unsent_bytes = 0
+        self.unsent_count = 0
         self.is_sent = True
         # Unsent bytes at the last check, and since when there are as many.
         self._checked_bytes = _UNCHECKED
         self._checked_ms = 0.0
 
+    @property
+    def is_backlogged(self) -> bool:
+        """Return whether the peer takes its messages much more slowly than it asks for them."""
+        return self.unsent_count >= const.PIPELINE_MAX and self.unsent_bytes > SLICE_BYTES
+
     def abort_if_stalled(self, now_ms: float) -> None:
         """Disconnect a peer that has taken nothing for long, if others wait for the memory."""
         if self.unsent_bytes != self._checked_bytes:
@@ -68,6 +76,7 @@
         else:
             self._parts.append(memoryview(head))
             self._parts.extend(bodies.views_of(body))
+        self.unsent_count += 1
         self.unsent_bytes += len(head) + len(body)
         self._checked_bytes = _UNCHECKED
         self._share.hold(self.unsent_bytes)
@@ -80,6 +89,7 @@
         """Pass the next slice to the transport, which has sent the last one."""
         if not self._parts:
             self.is_sent = True
+            self.unsent_count = 0
             self._transport.unregisterProducer()
             self._share.release()
             if self._on_sent is not None:
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -4,6 +4,7 @@
 from twisted.internet import error
 from twisted.python import failure
 
+from rhubarbspar.http1 import const
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from tests.http1 import conftest
@@ -43,6 +44,18 @@
     assert served.sent.index(b'first') < served.sent.index(b'second')
 
 
+def test_client_that_takes_no_responses_is_given_no_more(served):
+    """Guards against pipelined requests whose unread responses fill the memory."""
+    served.site.handle = lambda exchange: exchange.respond(messages.Response(200, body=bytes(9000)))
+    served.transport.stalled = True
+    served.receive(b''.join(GET % number for number in range(5000)))
+    assert served.channel.writer.unsent_bytes < 1_000_000
+    served.transport.stalled = False
+    served.transport.drain()
+    assert served.transport.write_closed
+    assert served.sent.count(b'HTTP/1.1 200') >= const.PIPELINE_MAX
+
+
 @pytest.mark.parametrize('reason', ['site', 'response'])
 def test_requests_that_were_read_are_answered_before_the_connection_closes(served, reason):
     """Guards against requests at work at servers that get no answer in a planned stop."""
