Read the records when a watch has too many changes

An answer to a watch may hold more than an instance takes at once, since the store names no bound of it: ten changes of a large configuration while an instance was frozen. The watch would fail until the store had compacted these changes, up to 20 s, and the instance kept old records. It now reads the records instead, whose pages are bounded.

The test fails without the change: the configuration is not taken within 30 s.

--- a/rhubarbspar/gateway/store_tasks.py
+++ b/rhubarbspar/gateway/store_tasks.py
@@ -106,6 +106,9 @@
                 self._report_failure('watch', error)
                 self._deliver(events.StoreLost(str(error)))
                 await self._wait_before_retry()
+                if isinstance(error, errors.TooLargeError):
+                    # The records are read in pages instead, which have an upper bound.
+                    self._revision = 0
 
     async def keep_registered(self) -> None:
         """Renew the registration of this instance until ``deregister`` or ``close`` is called."""
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -101,6 +101,21 @@
     deployment.loop.run(scenario())
 
 
+def test_changes_that_are_too_many_at_once_are_read_as_records(deployment):
+    """Guards against an instance that asks for ever for changes which it cannot hold at once."""
+
+    async def scenario():
+        await deployment.until_ready()
+        state = deployment.gateway._state
+        await deployment.loop.until(lambda: state.replica.directly_reachable)
+        for number in range(8):
+            deployment.store.put(f'odd/{number}', bytes(900_000))
+        deployment.configure(2, ['/stock/'])
+        await deployment.loop.until(lambda: state.declared.configuration.version == 2)
+
+    deployment.loop.run(scenario())
+
+
 def test_instance_registers_again_after_a_restore_of_the_store(deployment):
     """Guards against an instance, or the key of the fleet, that new instances do not find."""
 
