Divide the file descriptors among the kinds of connections

Cause: nothing bounded the connections of any port or pool. Once they had used up the descriptors, the reactor accepted new connections only to reset them, at every port, and no connection to a server or to the store could be opened until the others went (15 s). An attempt that got no socket counted as a failure of its server and of the own links.

Change: each kind of connection has its part of the descriptors: callers, directory, forwards, handshakes of peers, metrics, readiness, servers and the store; some stay free for files and for peers. When a part is used, the connection that has been idle longest closes at once, unless a request of it has arrived or may be on its way. If none is idle, the request of the new connection gets 503 with a time to return, on a bounded number of further connections. Pools share one limit and close the connection that is idle longest; without a socket, an attempt ends at once as not_sent, and its request gets 503 with the reason no_connection. Gauges and the line connections_full show it.

--- a/rhubarbspar/gateway/backend_client.py
+++ b/rhubarbspar/gateway/backend_client.py
@@ -10,6 +10,7 @@
 from rhubarbspar.gateway import models
 from rhubarbspar.helpers import addresses
 from rhubarbspar.http1 import client
+from rhubarbspar.http1 import descriptors
 from rhubarbspar.http1 import errors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
@@ -36,6 +37,8 @@
         Clock of the gateway.
     budget
         Bounds what requests and responses hold in memory.
+    connections
+        Bounds the open connections of all pools.
     """
 
     def __init__(
@@ -44,9 +47,11 @@
         deliver: abc.Callable[[core_events.Event], None],
         clock_ms: abc.Callable[[], float],
         budget: memory.MemoryBudget,
+        connections: descriptors.ConnectionLimit,
     ) -> None:
         """Open no connection yet."""
         self._budget = budget
+        self._connections = connections
         self._reactor = reactor
         self._deliver = deliver
         self._clock_ms = clock_ms
@@ -139,7 +144,14 @@
         pool = self._pools.get(pool_id)
         if pool is None or pool.endpoint != endpoint:
             self.close_pool(pool_id)
-            pool = client.Pool(self._reactor, endpoint, self._clock_ms, IDLE_MAX_MS, self._budget)
+            pool = client.Pool(
+                self._reactor,
+                endpoint,
+                self._clock_ms,
+                IDLE_MAX_MS,
+                self._budget,
+                self._connections,
+            )
             self._pools[pool_id] = pool
         return pool
 
@@ -187,6 +199,8 @@
             result = events.AttemptResult.UNREACHABLE
         case errors.MalformedError():
             result = events.AttemptResult.MALFORMED
+        case errors.NoSocketError():
+            result = events.AttemptResult.NOT_SENT
         case _:
             result = events.AttemptResult.BROKEN
     return events.AttemptEnded(
--- a/rhubarbspar/gateway/const.py
+++ b/rhubarbspar/gateway/const.py
@@ -64,6 +64,7 @@
 STATUS_GATEWAY_TIMEOUT: typing.Final = 504
 
 REASON_ACCOUNT_OVER_RATE: typing.Final = 'account_over_rate'
+REASON_NO_CONNECTION: typing.Final = 'no_connection'
 REASON_OVERLOADED: typing.Final = 'overloaded'
 REASON_SERVERS_FULL: typing.Final = 'servers_full'
 REASON_STOPPING: typing.Final = 'stopping'
--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -58,6 +58,8 @@
         The reactor that the process runs.
     memory_mb
         Memory that the process may use, megabytes as text; empty if it is unknown.
+    descriptor_count
+        File descriptors that the platform grants, as text; empty if it is unknown.
     """
 
     def __init__(
@@ -66,9 +68,11 @@
         settings: gateway_settings.Settings,
         reactor: typing.Any,
         memory_mb: str = '',
+        descriptor_count: str = '',
     ) -> None:
         """Create all parts without opening a socket."""
         self._budget = initial_state.make_budget(memory_mb)
+        self._limits = initial_state.make_limits(descriptor_count)
         self._settings_path = pathlib.Path(settings_path)
         self._settings = settings
         self._settings_text = self._read_settings_text()
@@ -84,17 +88,25 @@
         self._driver = effect_driver.Driver(self._state, clock_ms, self._counters, process)
         deliver = self._driver.deliver
         self._callers = caller_requests.CallerRequests(deliver)
-        self._backends = backend_client.BackendClient(reactor, deliver, clock_ms, self._budget)
+        self._backends = backend_client.BackendClient(
+            reactor, deliver, clock_ms, self._budget, self._limits.servers
+        )
         self._store = store_tasks.StoreTasks(
             reactor,
-            store.Store(reactor, settings.store_address, clock_ms),
+            store.Store(reactor, settings.store_address, clock_ms, self._limits.store),
             self._member,
             deliver,
             self._driver.report,
         )
         self._driver.connect(self._callers, self._backends, self._store)
         self._listeners = listeners.Listeners(
-            reactor, self._state, self._callers.receive, self._counters, clock_ms, self._budget
+            reactor,
+            self._state,
+            self._callers.receive,
+            self._counters,
+            clock_ms,
+            self._budget,
+            self._limits,
         )
         self._listeners.caller_site.on_refusal = self._report_refusal
         self._last_tick_ms = clock_ms()
@@ -152,6 +164,14 @@
         count = core_effects.Count(package_const.METRIC_CONNECTION_REFUSALS, str(status))
         self._driver.report(count)
 
+    def _report_connections(self) -> None:
+        """Log the kinds of connections whose limit was reached since the last call."""
+        for part in self._limits.parts:
+            turned_away = part.take_turned_away()
+            if turned_away is not None:
+                fields = (('kind', part.kind), ('open', part.open_count), ('limit', part.limit))
+                self._driver.report(core_effects.Log('connections_full', (*fields, *turned_away)))
+
     def _report_defaults(self) -> None:
         """Log the bounds that the settings do not give."""
         names = self._settings.defaulted_bounds
@@ -195,6 +215,7 @@
             self._driver.report,
             registry.collect_message_types((messages,)),
             self._listeners.release_peer_socket(),
+            self._limits.handshakes,
         )
         await defer.Deferred.fromFuture(asyncio.ensure_future(transport.start()))
         self._driver.transport = transport
@@ -218,6 +239,7 @@
         While the file is absent, the settings stay in force.
         """
         self._driver.report_dropped_lines()
+        self._report_connections()
         text = self._read_settings_text()
         if text not in {None, self._settings_text}:
             self.reload()
@@ -241,7 +263,7 @@
 _EXIT_DELAY_S: typing.Final = 0.15
 
 
-def run(settings_path: str, memory_mb: str = '') -> int:
+def run(settings_path: str, memory_mb: str = '', descriptor_count: str = '') -> int:
     """Run a gateway until its planned stop has ended; return the exit code.
 
     It is 0, or ``EXIT_START_FAILED`` if a port could not be opened.
@@ -255,7 +277,7 @@
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
     reactor = importlib.import_module('twisted.internet.reactor')
-    daemon = Daemon(settings_path, settings, reactor, memory_mb)
+    daemon = Daemon(settings_path, settings, reactor, memory_mb, descriptor_count)
     reactor.callWhenRunning(daemon.start)
     reactor.callWhenRunning(_install_signal_handlers, daemon)
     reactor.run(installSignalHandlers=False)
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/dispatch.py
@@ -3,6 +3,8 @@
 Patterns: deadline propagation, bounded retries on proof that nothing ran, hedged requests, cancellation.
 """
 
+import typing
+
 from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import admission
@@ -20,6 +22,11 @@
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import version_results
 
+# Results of attempts that neither the server nor the way to it has failed.
+_NOT_AT_SERVER: typing.Final = frozenset(
+    (events.AttemptResult.NOT_FORWARDED, events.AttemptResult.NOT_SENT)
+)
+
 
 def receive_request(
     state: gateway_state.State, request: models.Request, now_ms: float
@@ -63,7 +70,7 @@
     if pending is None or attempt not in pending.attempts:
         return outputs
     pending.end_attempt(attempt)
-    if ended.result == events.AttemptResult.NOT_FORWARDED:
+    if ended.result in _NOT_AT_SERVER:
         pending.tried_server_ids.remove(attempt.view.server.server_id)
     if ended.result in version_results.MAY_HAVE_RUN:
         pending.run_count += 1
@@ -264,6 +271,8 @@
     if ended.result == events.AttemptResult.ANSWERED:
         state.pending.pop(number)
         return outputs + responses.relay(pending, attempt, ended, now_ms)
+    if ended.result == events.AttemptResult.NOT_SENT:
+        return outputs + _refuse(state, pending, const.REASON_NO_CONNECTION)
     return outputs + _refuse(state, pending, const.REASON_SERVERS_FULL)
 
 
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -36,6 +36,8 @@
         The peer that was to pass the attempt on did not, so nothing was sent to the server.
     NOT_RUN
         The server reported that it did not run the request.
+    NOT_SENT
+        This instance may open no more connections, so nothing was sent.
     UNREACHABLE
         No connection was opened, so nothing was sent.
     WRONG_INSTANCE
@@ -47,6 +49,7 @@
     MALFORMED = 'malformed'
     NOT_FORWARDED = 'not_forwarded'
     NOT_RUN = 'not_run'
+    NOT_SENT = 'not_sent'
     UNREACHABLE = 'unreachable'
     WRONG_INSTANCE = 'wrong_instance'
 
--- a/rhubarbspar/gateway/forwards.py
+++ b/rhubarbspar/gateway/forwards.py
@@ -41,8 +41,11 @@
     forward = state.forwards.pop(ended.attempt_number)
     forwarded = forward.forwarded
     fields = (('result', ended.result.value), ('status', ended.status))
+    seen = ended.result
+    if seen == events.AttemptResult.NOT_SENT:
+        seen = events.AttemptResult.NOT_FORWARDED
     outputs: list[core_effects.Effect] = [
-        effects.AnswerForward(forwarded.forward_number, ended.result, ended.attempt_number),
+        effects.AnswerForward(forwarded.forward_number, seen, ended.attempt_number),
         core_effects.Count(const.METRIC_FORWARDS, ended.result.value),
         _log(forwarded, 'forward_ended', fields),
         *server_notices.record(state, forward.view, ended, now_ms),
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -4,6 +4,7 @@
 import typing
 
 from rhubarbspar.gateway import budget
+from rhubarbspar.gateway import descriptor_limits
 from rhubarbspar.gateway import fleet
 from rhubarbspar.gateway import memory_limits
 from rhubarbspar.gateway import models
@@ -51,6 +52,11 @@
     return memory_limits.make_budget(memory_mb)
 
 
+def make_limits(platform_limit: str) -> descriptor_limits.Limits:
+    """Return the limits of the connections, from the descriptors of the process."""
+    return descriptor_limits.make_limits(platform_limit)
+
+
 def make_member(settings: gateway_settings.Settings) -> models.Member:
     """Return the registration of this instance under a new random incarnation."""
     return models.Member(
--- a/rhubarbspar/gateway/listeners.py
+++ b/rhubarbspar/gateway/listeners.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 from rhubarbspar.gateway import const
+from rhubarbspar.gateway import descriptor_limits
 from rhubarbspar.gateway import directory
 from rhubarbspar.gateway import forward_protocol
 from rhubarbspar.gateway import models
@@ -12,6 +13,7 @@
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.helpers import addresses
+from rhubarbspar.http1 import descriptors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import server
@@ -42,6 +44,8 @@
         Clock of the gateway.
     budget
         Bounds what requests and responses hold in memory.
+    limits
+        Bound the open connections at each port.
     """
 
     def __init__(
@@ -52,10 +56,14 @@
         counters: metrics.Metrics,
         clock_ms: abc.Callable[[], float],
         budget: memory.MemoryBudget,
+        limits: descriptor_limits.Limits,
     ) -> None:
         """Create the callers' site; no port opens yet."""
-        self.caller_site = server.Site(handle, self._caller_limits, clock_ms, budget)
+        self.caller_site = server.Site(
+            handle, self._caller_limits, clock_ms, budget, connections=limits.callers
+        )
         self._budget = budget
+        self._limits = limits
         self._reactor = reactor
         self._state = state
         self._counters = counters
@@ -87,10 +95,10 @@
         if self._peer_socket is None:
             self._peer_socket = _bind(settings.peer_address)
         if settings.has_forward_port:
-            forward_site = self._make_site(forwards.receive, self._forward_limits, forwards.screen)
-            self._listen(settings.forward_address, forward_site)
-        self._serve(settings.directory_address, self._answer_lookup)
-        self._serve(settings.readiness_address, self._answer_readiness)
+            self._listen(settings.forward_address, self._make_forward_site(forwards))
+        limits = self._limits
+        self._serve(settings.directory_address, self._answer_lookup, limits.directory)
+        self._serve(settings.readiness_address, self._answer_readiness, limits.readiness)
 
     def release_peer_socket(self) -> socket.socket | None:
         """Hand over the socket on which peers connect; it is bound and does not listen yet."""
@@ -100,7 +108,7 @@
 
     def open_metrics(self, address: str) -> None:
         """Open the port of the metrics; raise as ``open`` does."""
-        self._serve(address, self._answer_metrics)
+        self._serve(address, self._answer_metrics, self._limits.metrics)
 
     def stop_accepting(self) -> None:
         """Accept no more connections of callers."""
@@ -160,6 +168,7 @@
         return platform_directory.encode_lookup(answer.caller_addresses, answer.ttl_ms)
 
     def _answer_metrics(self, request: messages.Request) -> messages.Response:
+        self._counters.update_connections(self._limits.parts)
         accept = messages.find_header(request.headers, b'accept') or b''
         body, fields = self._counters.render(accept.decode('latin-1'))
         headers = tuple(
@@ -167,23 +176,29 @@
         )
         return messages.Response(const.STATUS_OK, headers, body)
 
-    def _serve(self, address: str, respond: _Respond) -> None:
+    def _serve(
+        self, address: str, respond: _Respond, connections: descriptors.ConnectionLimit
+    ) -> None:
         """Open a port whose requests are answered at once."""
-        self._listen(
-            address,
-            self._make_site(
-                lambda exchange: exchange.respond(respond(exchange.request)),
-                lambda: _INTERNAL_LIMITS,
-            ),
+        site = server.Site(
+            lambda exchange: exchange.respond(respond(exchange.request)),
+            lambda: _INTERNAL_LIMITS,
+            self._clock_ms,
+            self._budget,
+            connections=connections,
+        )
+        self._listen(address, site)
+
+    def _make_forward_site(self, forwards: peer_forwards.PeerForwards) -> server.Site:
+        return server.Site(
+            forwards.receive,
+            self._forward_limits,
+            self._clock_ms,
+            self._budget,
+            forwards.screen,
+            self._limits.forwards,
+            forwards.refuse_surplus,
         )
-
-    def _make_site(
-        self,
-        handle: abc.Callable[[server.Exchange], None],
-        limits: abc.Callable[[], server.Limits],
-        screen: server.Screen | None = None,
-    ) -> server.Site:
-        return server.Site(handle, limits, self._clock_ms, self._budget, screen)
 
     def _listen(self, address: str, site: server.Site) -> None:
         """Open a port, unless it is open already."""
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/outcomes.py
@@ -118,6 +118,8 @@
 ) -> list[core_effects.Effect]:
     """Update the server of an attempt by its result."""
     view = attempt.view
+    if ended.result == events.AttemptResult.NOT_SENT:
+        return []
     if ended.result in _CONNECTION_FAILURES:
         return _record_connection_failure(state, attempt, ended.result, now_ms)
     match ended.result:
--- a/rhubarbspar/gateway/peer_forwards.py
+++ b/rhubarbspar/gateway/peer_forwards.py
@@ -1,5 +1,6 @@
 """HTTP exchanges with peers whose attempts this instance passes on."""
 
+import dataclasses
 from collections import abc
 
 from rhubarbspar.core import events as core_events
@@ -44,6 +45,11 @@
             return None
         return _encode_result(message, events.AttemptResult.NOT_FORWARDED)
 
+    def refuse_surplus(self, message: messages.Request) -> messages.Response:
+        """Return the response to a peer on a connection beyond the limit, which then closes."""
+        refusal = _encode_result(message, events.AttemptResult.NOT_FORWARDED)
+        return dataclasses.replace(refusal, keep_alive=False)
+
     def receive(self, exchange: server.Exchange) -> None:
         """Register an attempt that ``screen`` has accepted, and deliver its event."""
         message = exchange.request
--- a/rhubarbspar/gateway/retries.py
+++ b/rhubarbspar/gateway/retries.py
@@ -46,6 +46,9 @@
     run_count = pending.run_count + len(pending.attempts)
     if run_count and (not route.idempotent or run_count >= route.attempts_max):
         return False
+    if result == events.AttemptResult.NOT_SENT:
+        # A connection to another server would not open either.
+        return False
     if admission.crashes_servers(state, pending.request, pending.account, now_ms):
         return False
     if pending.send_count >= SENDS_MAX:
--- a/rhubarbspar/http1/client.py
+++ b/rhubarbspar/http1/client.py
@@ -13,6 +13,7 @@
 from rhubarbspar import const as package_const
 from rhubarbspar.http1 import bodies
 from rhubarbspar.http1 import const
+from rhubarbspar.http1 import descriptors
 from rhubarbspar.http1 import errors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
@@ -100,6 +101,8 @@
         Idle timeout: a connection that was idle for longer is closed, not reused.
     budget
         Bounds what the responses hold in memory; by default they hold what they need.
+    connections
+        Bounds the open connections of all pools that share it; by default there may be any number.
     """
 
     def __init__(
@@ -109,8 +112,10 @@
         clock_ms: abc.Callable[[], float],
         idle_max_ms: float,
         budget: memory.MemoryBudget | None = None,
+        connections: descriptors.ConnectionLimit | None = None,
     ) -> None:
         """Create an empty pool."""
+        self.connections = connections or descriptors.ConnectionLimit()
         self.budget = budget or memory.MemoryBudget()
         self.clock_ms = clock_ms
         self.endpoint = endpoint
@@ -125,6 +130,9 @@
             call.reused = True
             connection.send(call)
             return
+        if not self.connections.acquire():
+            call.finish(errors.NoSocketError('all connections of this kind are in use'))
+            return
         factory = _Factory(self, call)
         call.connector = self._reactor.connectTCP(
             self.endpoint.host,
@@ -179,6 +187,7 @@
 
     def send(self, call: Call) -> None:
         """Send a request; the connection must be idle."""
+        self._pool.connections.mark_busy(self)
         self._call = call
         call.connection = self
         self._parser = httptools.HttpResponseParser(self)
@@ -195,6 +204,11 @@
         if transport is not None:
             transport.abortConnection()
 
+    def evict(self) -> bool:
+        """Close the idle connection and its descriptor at once."""
+        transports.close(self.transport)
+        return True
+
     def dataReceived(self, chunk: bytes) -> None:  # noqa: N802
         """Parse received bytes; bytes that arrive without a request close the connection."""
         if self._call is None or self._closed:
@@ -220,6 +234,7 @@
         """Complete a response that ends with the connection, or report the connection as broken."""
         self._closed = True
         self._remove_from_pool()
+        self._pool.connections.release()
         if self._call is None:
             return
         ended_cleanly = reason.check(internet_error.ConnectionDone) is not None
@@ -305,6 +320,7 @@
             self._apply_keep_alive_timeout(keep_alive)
         self.expires_ms = self._pool.clock_ms() + self._idle_timeout_ms
         self._pool.idle.append(self)
+        self._pool.connections.mark_idle(self, self._pool.clock_ms())
 
     def _apply_keep_alive_timeout(self, keep_alive: bytes) -> None:
         match = _TIMEOUT_PARAMETER.search(keep_alive)
@@ -326,6 +342,7 @@
         self._share.release()
 
     def _remove_from_pool(self) -> None:
+        self._pool.connections.mark_busy(self)
         if self in self._pool.idle:
             self._pool.idle.remove(self)
 
@@ -350,7 +367,11 @@
         self, connector: typing.Any, reason: failure.Failure
     ) -> None:
         """Report that no connection was opened and nothing was sent."""
-        self._call.finish(errors.ConnectError(reason.getErrorMessage()))
+        self._pool.connections.release()
+        # The system grants this process no socket, which says nothing about the server.
+        has_no_socket = reason.check(internet_error.ConnectBindError) is not None
+        error_type = errors.NoSocketError if has_no_socket else errors.ConnectError
+        self._call.finish(error_type(reason.getErrorMessage()))
 
 
 @dataclasses.dataclass(slots=True)
--- a/rhubarbspar/http1/const.py
+++ b/rhubarbspar/http1/const.py
@@ -28,6 +28,13 @@
 
 MEMORY_RETRY_AFTER: typing.Final = (b'retry-after', b'1')
 
+# A request may be on its way on a connection that has been idle for less.
+EVICTION_IDLE_MIN_MS: typing.Final = 100
+
+# A connection beyond the limit that sends no request is closed after this long.
+SURPLUS_IDLE_MAX_MS: typing.Final = 1000
+SURPLUS_RETRY_AFTER: typing.Final = (b'retry-after', b'1')
+
 # Idle connections are closed this long before the idle timeout that the peer announced.
 KEEP_ALIVE_MARGIN_MS: typing.Final = 1000
 
--- a/rhubarbspar/http1/errors.py
+++ b/rhubarbspar/http1/errors.py
@@ -11,6 +11,10 @@
     """No connection could be opened; nothing was sent."""
 
 
+class NoSocketError(HttpError):
+    """This process may open no more connections of this kind; nothing was sent."""
+
+
 class BrokenError(HttpError):
     """The connection closed before the response was complete; the request may have run."""
 
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -13,6 +13,7 @@
 from zope import interface  # type: ignore[import-untyped]
 
 from rhubarbspar.http1 import const
+from rhubarbspar.http1 import descriptors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import request_parser
@@ -21,6 +22,7 @@
 
 
 Screen: typing.TypeAlias = abc.Callable[[messages.Request], messages.Response | None]
+Refuse: typing.TypeAlias = abc.Callable[[messages.Request], messages.Response]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +88,11 @@
     screen
         Called with the head of each request before its body is read; returns the response that
         refuses it, or ``None``.
+    connections
+        Bounds the open connections; by default there may be any number.
+    refuse_surplus
+        Returns the response to a request on a connection beyond the limit, by its head; by default
+        it has status 503.
 
     Attributes
     ----------
@@ -102,23 +109,45 @@
         clock_ms: abc.Callable[[], float],
         budget: memory.MemoryBudget | None = None,
         screen: Screen | None = None,
+        connections: descriptors.ConnectionLimit | None = None,
+        refuse_surplus: Refuse | None = None,
     ) -> None:
         """Create a site without connections."""
         self.handle = handle
         self.limits = limits
         self.clock_ms = clock_ms
         self.budget = budget or memory.MemoryBudget()
+        self.connections = connections or descriptors.ConnectionLimit()
         self._screen = screen
+        self._refuse_surplus = refuse_surplus or _refuse_surplus
         self.channels: set[Channel] = set()
         self.closing = False
         self.on_refusal: abc.Callable[[int], None] | None = None
 
-    def buildProtocol(self, addr: typing.Any) -> 'Channel':  # noqa: N802
-        """Return the protocol of a new connection."""
-        return Channel(self)
+    def buildProtocol(self, addr: typing.Any) -> 'Channel | None':  # noqa: N802
+        """Return the protocol of a new connection; ``None`` closes it at once.
 
-    def refuse_by_head(self, request: messages.Request) -> messages.Response | None:
-        """Return the response that refuses a request by its head, or ``None``."""
+        At the limit, it takes the place of the connection that has been idle longest. If none is
+        idle, its request is refused; it is only closed if too many are refused already.
+        """
+        idle_since_max_ms = self.clock_ms() - const.EVICTION_IDLE_MIN_MS
+        for connections in (self.connections, self.connections.surplus):
+            if connections is not None and connections.acquire(idle_since_max_ms):
+                return Channel(self, connections)
+        return None
+
+    def refuse_by_head(
+        self, request: messages.Request, *, is_surplus: bool
+    ) -> messages.Response | None:
+        """Return the response that refuses a request by its head, or ``None``.
+
+        Parameters
+        ----------
+        is_surplus
+            Whether its connection is one beyond the limit.
+        """
+        if is_surplus:
+            return self._refuse_surplus(request)
         return None if self._screen is None else self._screen(request)
 
     @property
@@ -159,9 +188,11 @@
         Sends the responses.
     """
 
-    def __init__(self, site: Site) -> None:
-        """Create the protocol of a new connection."""
+    def __init__(self, site: Site, connections: descriptors.ConnectionLimit) -> None:
+        """Create the protocol of a new connection, which counts as one of ``connections``."""
         self._site = site
+        self._connections = connections
+        self._is_surplus = connections is site.connections.surplus
         self._parser = request_parser.RequestParser(self, site.budget, site.clock_ms)
         self._pending: collections.deque[Exchange] = collections.deque()
         self._last_active_ms = site.clock_ms()
@@ -175,6 +206,7 @@
         share = memory.Share(self._site.budget)
         self.writer = writing.SliceWriter(self.transport, share, self._note_sent)
         self._site.channels.add(self)
+        self._update_idle()
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -182,8 +214,17 @@
         """Abandon the exchanges that have no response yet."""
         self.closing = True
         self._site.channels.discard(self)
+        self._connections.mark_busy(self)
+        self._connections.release()
         self._parser.stop()
-        self._abandon_pending()
+        _abandon(self._pending)
+
+    def evict(self) -> bool:
+        """Close the idle connection at once, unless a request of the client has arrived."""
+        if not self.closing and transports.has_unread(self.transport):
+            return False
+        transports.close(self.transport)
+        return True
 
     def readConnectionLost(self) -> None:  # noqa: N802
         """Close the connection: a client that ends its side counts as disconnected."""
@@ -205,6 +246,7 @@
             return
         if self._parser.partial.started and not self.closing:
             self._check_partial(self._parser.partial)
+        self._update_idle()
 
     def check_time(self, now_ms: float) -> None:
         """Close the connection if it is idle or stalled; refuse a request that is overdue."""
@@ -237,7 +279,8 @@
             if self._site.closing or not keep_alive:
                 self._reading.is_ending = True
             close = self._reading.is_ending and not self._pending
-            self._write(exchange, response, close=close)
+            self._last_active_ms = self._site.clock_ms()
+            _write(self.writer, exchange, response, close=close)
             if close:
                 self._close()
                 return
@@ -253,8 +296,9 @@
             return
         exchange = Exchange(self, request, share, keep_alive=self._parser.should_keep_alive())
         self._pending.append(exchange)
+        self._update_idle()
         self._update_reading()
-        refusal = self._site.refuse_by_head(request)
+        refusal = self._site.refuse_by_head(request, is_surplus=self._is_surplus)
         if refusal is None:
             self._site.handle(exchange)
         else:
@@ -270,7 +314,8 @@
         refusal = _find_excess(partial, self._site)
         if refusal is None and partial.head_complete and not partial.is_screened:
             partial.is_screened = True
-            refusal = self._site.refuse_by_head(self._parser.make_request())
+            request = self._parser.make_request()
+            refusal = self._site.refuse_by_head(request, is_surplus=self._is_surplus)
         if refusal is not None:
             self._refuse(refusal)
             return
@@ -298,17 +343,21 @@
         if partial.started and not partial.head_complete:
             if now_ms - partial.started_ms > limits.header_timeout_ms:
                 self._refuse(messages.Response(const.STATUS_REQUEST_TIMEOUT, keep_alive=False))
+        elif self._is_surplus and now_ms - self._last_active_ms > const.SURPLUS_IDLE_MAX_MS:
+            self.evict()
         elif now_ms - self._last_active_ms > limits.idle_timeout_ms:
             self._close()
 
-    def _write(self, exchange: Exchange, response: messages.Response, *, close: bool) -> None:
-        """Pass the response of an exchange to the transport."""
-        to_head = exchange.request.method == b'HEAD'
-        head = messages.serialize_response_head(response, to_head=to_head, close=close)
-        self._last_active_ms = self._site.clock_ms()
-        self.writer.write(head, b'' if to_head else response.body)
-        # The writer holds the response now; released earlier, its memory would be given away.
-        exchange.share.release()
+    def _update_idle(self) -> None:
+        """Tell the limit of the connections whether this one may be closed for a new one."""
+        partial = self._parser.partial
+        is_ending = self.closing or self._reading.is_ending
+        is_used = bool(self._pending) or not self.writer.is_sent
+        keeps_partial = partial.is_screened or not self._connections.evicts_partial
+        if not self._is_surplus and (is_ending or is_used or partial.started and keeps_partial):
+            self._connections.mark_busy(self)
+        else:
+            self._connections.mark_idle(self, self._site.clock_ms())
 
     def _refuse(self, refusal: messages.Response) -> None:
         """Queue an error response after the pending ones and close the connection."""
@@ -322,18 +371,10 @@
         self._pending.append(exchange)
         exchange.respond(refusal)
 
-    def _abandon_pending(self) -> None:
-        """Abandon the requests to which no response can be sent any more."""
-        rest = tuple(self._pending)
-        self._pending.clear()
-        for exchange in rest:
-            exchange.share.release()
-            if exchange.response is None and exchange.on_abandoned is not None:
-                exchange.on_abandoned()
-
     def _close(self) -> None:
         """Close the write side once all is sent, and the connection ``LINGER_S`` later."""
         self.closing = True
+        self._update_idle()
         self._parser.stop()
         # What the client still sends is read and dropped: closing a socket with unread bytes
         # resets it, which can lose the last response.
@@ -347,6 +388,8 @@
             transport: typing.Any = self.transport
             transport.loseWriteConnection()
             transport.reactor.callLater(const.LINGER_S, transport.loseConnection)
+        else:
+            self._update_idle()
 
 
 @dataclasses.dataclass(slots=True)
@@ -388,6 +431,34 @@
 _OUT_OF_MEMORY: typing.Final = messages.Response(
     const.STATUS_UNAVAILABLE, (const.MEMORY_RETRY_AFTER,), keep_alive=False
 )
+_TOO_MANY_CONNECTIONS: typing.Final = messages.Response(
+    const.STATUS_UNAVAILABLE, (const.SURPLUS_RETRY_AFTER,), keep_alive=False
+)
+
+
+def _refuse_surplus(_request: messages.Request) -> messages.Response:
+    return _TOO_MANY_CONNECTIONS
+
+
+def _write(
+    writer: writing.SliceWriter, exchange: Exchange, response: messages.Response, *, close: bool
+) -> None:
+    """Pass the response of an exchange to the transport."""
+    to_head = exchange.request.method == b'HEAD'
+    head = messages.serialize_response_head(response, to_head=to_head, close=close)
+    writer.write(head, b'' if to_head else response.body)
+    # The writer holds the response now; released earlier, its memory would be given away.
+    exchange.share.release()
+
+
+def _abandon(pending: collections.deque[Exchange]) -> None:
+    """Abandon the requests to which no response can be sent any more."""
+    rest = tuple(pending)
+    pending.clear()
+    for exchange in rest:
+        exchange.share.release()
+        if exchange.response is None and exchange.on_abandoned is not None:
+            exchange.on_abandoned()
 
 
 def _find_excess(partial: request_parser.PartialRequest, site: Site) -> messages.Response | None:
--- a/rhubarbspar/http1/transports.py
+++ b/rhubarbspar/http1/transports.py
@@ -3,6 +3,9 @@
 import socket
 import typing
 
+from twisted.internet import error
+from twisted.python import failure
+
 from rhubarbspar.http1 import const
 
 
@@ -12,3 +15,19 @@
     transport.socket.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, const.TCP_USER_TIMEOUT_MS
     )
+
+
+def has_unread(transport: typing.Any) -> bool:
+    """Return whether the peer has sent bytes that are not read yet."""
+    try:
+        return bool(transport.socket.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+def close(transport: typing.Any) -> None:
+    """Close a connection on which nothing is unsent, and its descriptor, at once.
+
+    The methods of the transport leave the descriptor open until the reactor's next round.
+    """
+    transport.connectionLost(failure.Failure(error.ConnectionDone()))
--- a/rhubarbspar/peers/transport.py
+++ b/rhubarbspar/peers/transport.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import ipaddress
 import logging
 import socket
@@ -17,11 +18,13 @@
 from rhubarbspar.core import effects
 from rhubarbspar.core import events
 from rhubarbspar.core import messages
+from rhubarbspar.http1 import descriptors
 from rhubarbspar.peers import codec
 from rhubarbspar.peers import connection
 from rhubarbspar.peers import const
 from rhubarbspar.peers import errors
 from rhubarbspar.peers import handshake
+from rhubarbspar.peers import incoming
 from rhubarbspar.peers import registry
 
 # Failures are counted by reason; log lines of the websockets library would only repeat them.
@@ -69,6 +72,9 @@
         Message classes by type name; those of the entry instances if omitted.
     bound_socket
         Socket on which peers connect; by default one is bound to the listening address.
+    handshakes
+        Bounds the incoming connections before the end of their handshake; by default there may be
+        any number.
     """
 
     def __init__(
@@ -78,7 +84,9 @@
         report: abc.Callable[[effects.Effect], None],
         message_types: registry.MessageTypes | None = None,
         bound_socket: socket.socket | None = None,
+        handshakes: descriptors.ConnectionLimit | None = None,
     ) -> None:
+        self._handshakes = handshakes or descriptors.ConnectionLimit()
         self._settings = settings
         self._bound_socket = bound_socket
         self._deliver = deliver
@@ -96,13 +104,14 @@
 
     async def start(self) -> None:
         """Start listening for incoming connections."""
-        if self._bound_socket is not None:
-            self._server = await server.serve(self._accept, sock=self._bound_socket, **_OPTIONS)
-            return
+        listening: dict[str, typing.Any] = {'sock': self._bound_socket}
+        if self._bound_socket is None:
+            listening = {'host': self._settings.host, 'port': self._settings.port}
+        listening['create_connection'] = functools.partial(incoming.Connection, self._handshakes)
         self._server = await server.serve(
             self._accept,
-            self._settings.host,
-            self._settings.port,
+            backlog=incoming.backlog(self._handshakes),
+            **listening,
             **_OPTIONS,
         )
 
@@ -224,6 +233,8 @@
             return
         finally:
             self._pending_handshakes -= 1
+        if isinstance(websocket, incoming.Connection):
+            websocket.finish_handshake()
         preferred = identity.instance_id < self._settings.instance_id
         peer = connection.PeerConnection(identity, websocket)
         await self._start_task(self._run_connection(peer, preferred=preferred))
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -16,6 +16,7 @@
 from rhubarbspar.helpers import durations
 from rhubarbspar.http1 import bodies
 from rhubarbspar.http1 import client
+from rhubarbspar.http1 import descriptors
 from rhubarbspar.http1 import errors as http_errors
 from rhubarbspar.http1 import messages
 from rhubarbspar.platform import const
@@ -57,17 +58,23 @@
         ``host:port`` of the store.
     clock_ms
         Monotonic clock of the process.
+    connections
+        Bounds the open connections; by default there may be any number.
     """
 
     def __init__(
-        self, reactor: typing.Any, address: str, clock_ms: abc.Callable[[], float]
+        self,
+        reactor: typing.Any,
+        address: str,
+        clock_ms: abc.Callable[[], float],
+        connections: descriptors.ConnectionLimit | None = None,
     ) -> None:
         """Prepare the connection pool; the first call opens a connection."""
         host, port = addresses.split_host_port(address)
         self._reactor = reactor
         self._host = address.encode()
         endpoint = client.Endpoint(host, port)
-        self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS)
+        self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS, connections=connections)
         self._calls: set[client.Call] = set()
         # Number of times that the store was restored, by its answers; 0 if it does not tell.
         self.era = 0
--- a/rhubarbspar/server/metrics.py
+++ b/rhubarbspar/server/metrics.py
@@ -2,12 +2,14 @@
 
 import types
 import typing
+from collections import abc
 
 from aioprometheus import collectors
 from aioprometheus import renderer
 
 from rhubarbspar import const as package_const
 from rhubarbspar.core import effects
+from rhubarbspar.http1 import descriptors
 
 _DESCRIPTIONS: typing.Final = types.MappingProxyType(
     {
@@ -18,6 +20,15 @@
 )
 
 
+_CONNECTION_GAUGES: typing.Final = types.MappingProxyType(
+    {
+        'evicted': 'Idle connections closed for new ones since the start, by kind.',
+        'limit': 'Connections that may be open, by kind.',
+        'open': 'Open connections by kind.',
+        'refused': 'Connections beyond the limit since the start, by kind.',
+    }
+)
+
 # Upper bounds of the latency histograms, milliseconds.
 LATENCY_BUCKETS_MS: typing.Final = (
     *(25.0, 50.0, 100.0, 200.0, 400.0),
@@ -36,6 +47,15 @@
         self._histograms: dict[str, collectors.Histogram] = {}
         for name in _DESCRIPTIONS:
             self._counters[name] = self._create(name)
+        self._connections = {
+            gauge: collectors.Gauge(
+                f'rhubarbspar_connections_{gauge}',
+                description,
+                const_labels=self._labels,
+                registry=self._registry,
+            )
+            for gauge, description in _CONNECTION_GAUGES.items()
+        }
 
     def count(self, effect: effects.Count) -> None:
         """Increment the counter of a metric, which is created on first use."""
@@ -59,6 +79,15 @@
             self._histograms[metric] = histogram
         histogram.observe({'service': service_id}, elapsed_ms)
 
+    def update_connections(self, limits: abc.Iterable[descriptors.ConnectionLimit]) -> None:
+        """Set the gauges of the connections by kind."""
+        for limit in limits:
+            labels = {'kind': limit.kind}
+            self._connections['open'].set(labels, limit.open_count)
+            self._connections['limit'].set(labels, limit.limit)
+            self._connections['evicted'].set(labels, limit.evicted_count)
+            self._connections['refused'].set(labels, limit.refused_count)
+
     def render(self, accept: str) -> tuple[bytes, dict[str, typing.Any]]:
         """Return the exposition in the accepted format and its HTTP headers."""
         body, http_headers = renderer.render(self._registry, [accept])
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -64,6 +64,8 @@
         Addresses of the gateway, by name.
     settings_path
         Its settings.
+    settings
+        Their content.
     taken
         Sockets that hold ports of the gateway.
     daemon
@@ -80,8 +82,14 @@
         self.settings_path.write_text(self._settings(instance_id, store_address))
         loaded = settings.load(self.settings_path)
         self.taken = [hold(getattr(loaded, name)) for name in taken]
-        self.daemon = gateway_daemon.Daemon(str(self.settings_path), loaded, reactor)
-        self.daemon.start()
+        self.settings = loaded
+        self.daemon = self._start(reactor)
+
+    def _start(self, reactor):
+        """Start the gateway and return what ends it with ``close``."""
+        daemon = gateway_daemon.Daemon(str(self.settings_path), self.settings, reactor)
+        daemon.start()
+        return daemon
 
     def _settings(self, instance_id, store_address):
         placeholders = {
@@ -108,8 +116,12 @@
         Requests that the server has received.
     server_status, server_headers
         Status and headers of its responses.
+    first_type
+        Kind of the first gateway.
     """
 
+    first_type = Gateway
+
     def __init__(self, loop, tmp_path):
         """Start all parts."""
         self.loop = loop
@@ -125,7 +137,8 @@
         self.initial_records = self.store.copy()
         self._folder = tmp_path
         self._gateways = []
-        self.first = self.add_gateway('front-1', loop.reactor)
+        self.first = self.first_type('front-1', self.store.address, loop.reactor, tmp_path)
+        self._gateways.append(self.first)
         self.addresses = self.first.addresses
         self.gateway = self.first.daemon
 
--- /dev/null
+++ b/tests/gateway/test_descriptors.py
@@ -0,0 +1,98 @@
+"""Descriptors of a gateway that is a process of its own, with connections of strangers."""
+
+import pytest
+
+from rhubarbspar.http1 import messages
+from rhubarbspar.platform import const
+from tests.gateway import processes
+
+CHECKS = 4
+CONNECTIONS = 300
+HALF_REQUEST = b'GET /half HTTP/1.1\r\nHost: sh'
+PORTS = ('front', 'ready', 'directory', 'metrics', 'forward', 'peer')
+LOOKUP = b'%s?zone=almaty-a&region=almaty' % const.PATH_RESOLVE
+
+
+class Limited(processes.ProcessDeployment):
+    """A deployment, and what callers see of its first gateway."""
+
+    version = 1
+
+    def address(self, port):
+        """Return the address of one of the gateway's ports."""
+        settings = self.first.settings
+        internal = {
+            'forward': settings.forward_address,
+            'metrics': settings.metrics_address,
+            'peer': settings.peer_address,
+        }
+        return internal.get(port) or self.addresses[port]
+
+    async def status(self, port, path):
+        """Return the status of the response of one of the gateway's ports; 0 without one."""
+        response = await self.call_address(self.address(port), path)
+        return response.status if isinstance(response, messages.Response) else 0
+
+    async def statuses(self):
+        """Return the statuses of the responses of all ports but those between gateways."""
+        paths = {'front': b'/stock/1', 'ready': b'/ready', 'directory': LOOKUP, 'metrics': b'/'}
+        return {port: await self.status(port, path) for port, path in paths.items()}
+
+    async def follows_store(self):
+        """Return whether requests to a route that a new configuration adds are served."""
+        self.version += 1
+        self.configure(self.version, [f'/{self.version}/', '/stock/'])
+        found = 0
+        for _ in range(CHECKS):
+            await self.loop.wait(0.1)
+            found = found or await self.status('front', b'/%d/1' % self.version) == 200
+        return found
+
+
+@pytest.fixture(scope='module')
+def limited(loop, tmp_path_factory):
+    """Return a deployment whose gateway may hold 120 descriptors."""
+    started = Limited(loop, tmp_path_factory.mktemp('limited'))
+    loop.run(started.until_ready())
+    yield started
+    loop.run(started.close())
+
+
+SERVED = {'front': 200, 'ready': 200, 'directory': 200, 'metrics': 200}
+
+
+@pytest.mark.parametrize('port', PORTS)
+@pytest.mark.parametrize('first_bytes', [b'', HALF_REQUEST], ids=['silent', 'half'])
+def test_strangers_at_one_port_keep_nobody_else_out(loop, limited, port, first_bytes):
+    """Guards against requests without an answer while others hold all descriptors.
+
+    Half requests at the port for callers may come from callers, so that new ones are refused.
+    """
+
+    async def play():
+        with processes.Strangers(limited.address(port), CONNECTIONS, first_bytes):
+            await loop.wait(0.15)
+            found = [await limited.statuses() for _ in range(CHECKS)]
+            is_heard = await limited.follows_store()
+            return found, is_heard
+
+    is_half_at_callers = port == 'front' and first_bytes
+    expected = SERVED | {'front': 503} if is_half_at_callers else SERVED
+    assert loop.run(play()) == ([expected] * CHECKS, not is_half_at_callers)
+    loop.run(limited.until_ready())
+    assert limited.first.process.poll() is None
+
+
+@pytest.mark.parametrize('port', ['front', 'peer'])
+def test_peers_connect_beside_strangers(loop, limited, port):
+    """Guards against a gateway that its peers cannot reach while others hold all descriptors."""
+
+    async def play():
+        with processes.Strangers(limited.address(port), CONNECTIONS):
+            second = limited.add_gateway('front-2', loop.reactor).daemon
+            await loop.until(lambda: second._driver.transport)
+            found = await loop.until(lambda: second._driver.transport.peer_ids)
+            second.close()
+            return found
+
+    assert loop.run(play()) == ['front-1']
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -84,6 +84,17 @@
     assert second.server.server_id != first.server.server_id
 
 
+def test_request_without_a_connection_of_this_instance_is_refused_at_once(gateway):
+    """Guards against servers that are avoided, and requests that wait, for a lack of descriptors."""
+    started = conftest.single_effect(gateway.request(), effects.StartAttempt)
+    outputs = gateway.reduce(conftest.ended(started, events.AttemptResult.NOT_SENT))
+    refused = conftest.single_effect(outputs, effects.Refuse)
+    assert (refused.status, refused.reason) == (503, const.REASON_NO_CONNECTION)
+    assert refused.retry_after_ms
+    view = gateway.state.servers.views[started.server.server_id]
+    assert not (view.ejected_until_ms > 0 or gateway.state.links.failed_ids)
+
+
 def test_request_that_may_have_run_is_not_reported_as_not_run(gateway):
     """Guards against a 503, which says that nothing ran, after an attempt that may have run."""
     first = conftest.single_effect(gateway.request(), effects.StartAttempt)
@@ -278,6 +289,7 @@
         (UNREACHABLE, 0),
         (BROKEN, 0),
         (events.AttemptResult.NOT_FORWARDED, 0),
+        (events.AttemptResult.NOT_SENT, 0),
         (ANSWERED, 500),
     ],
 )
--- a/tests/gateway/test_forwards.py
+++ b/tests/gateway/test_forwards.py
@@ -176,6 +176,13 @@
     assert not gateway.state.forwards
 
 
+def test_attempt_without_a_connection_is_returned_as_not_passed_on(gateway):
+    """Guards against a peer that takes a lack of descriptors here for a run of its request."""
+    started = conftest.single_effect(forward(gateway), effects.StartForward)
+    outputs = gateway.reduce(conftest.ended(started, events.AttemptResult.NOT_SENT))
+    assert conftest.single_effect(outputs, effects.AnswerForward).result == NOT_FORWARDED
+
+
 def test_attempt_is_passed_on_at_most_once(stranded):
     """Guards against attempts that go in circles between instances without links."""
     answer = conftest.single_effect(forward(stranded), effects.AnswerForward)
--- a/tests/http1/conftest.py
+++ b/tests/http1/conftest.py
@@ -14,13 +14,27 @@
     def __init__(self, clock):
         """Create a transport whose delayed calls follow ``clock``."""
         super().__init__()
+        # Whether the descriptor is closed.
+        self.disconnected = False
         self.reactor = clock
-        self.socket = types.SimpleNamespace(setsockopt=lambda *_arguments: None)
+        self.socket = types.SimpleNamespace(setsockopt=lambda *_arguments: None, recv=self._peek)
+        # Bytes of the peer that the connection has not read.
+        self.unread = b''
         self.write_closed = False
         self.aborted = False
         # Whether the peer reads nothing, so that the transport asks for nothing more.
         self.stalled = False
 
+    def _peek(self, size, _flags):
+        if not self.unread:
+            raise BlockingIOError
+        return self.unread[:size]
+
+    def connectionLost(self, reason):  # noqa: N802
+        """Close the connection and its descriptor."""
+        self.disconnected = True
+        self.protocol.connectionLost(reason)
+
     def setTcpNoDelay(self, _enabled):  # noqa: N802
         """Ignore the option."""
 
@@ -51,7 +65,7 @@
 class ServedConnection:
     """A site with one open connection and a record of its exchanges."""
 
-    def __init__(self, budget=None, screen=None, **limits):
+    def __init__(self, budget=None, screen=None, connections=None, **limits):
         """Create the site with default limits and open the connection."""
         self.clock = testing.MemoryReactorClock()
         self.now_ms = 0.0
@@ -64,7 +78,12 @@
         }
         current_limits = server.Limits(**{**members, **limits})
         self.site = server.Site(
-            self.exchanges.append, lambda: current_limits, lambda: self.now_ms, budget, screen
+            self.exchanges.append,
+            lambda: current_limits,
+            lambda: self.now_ms,
+            budget,
+            screen,
+            connections,
         )
         self.channel, self.transport = self.connect()
 
@@ -72,6 +91,7 @@
         """Open a connection; return its protocol and transport."""
         channel = self.site.buildProtocol(None)
         transport = Transport(self.clock)
+        transport.protocol = channel
         channel.makeConnection(transport)
         return channel, transport
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -22,14 +22,19 @@
 class OpenedPool:
     """A pool whose connections use in-memory transports."""
 
-    def __init__(self):
+    def __init__(self, connections=None):
         """Create a pool without connections."""
         self.clock = testing.MemoryReactorClock()
         self.now_ms = 0.0
         self.outcomes = []
         self.budget = memory.MemoryBudget(BUDGET_BYTES)
         self.pool = client.Pool(
-            self.clock, client.Endpoint('10.0.0.1', 80), lambda: self.now_ms, 5000, self.budget
+            self.clock,
+            client.Endpoint('10.0.0.1', 80),
+            lambda: self.now_ms,
+            5000,
+            self.budget,
+            connections,
         )
         self.connections = []
         # Whether the servers read nothing.
@@ -44,6 +49,7 @@
             connection = factory.buildProtocol(None)
             transport = conftest.Transport(self.clock)
             transport.stalled = self.stalled
+            transport.protocol = connection
             connection.makeConnection(transport)
             self.connections.append(connection)
         return call
--- /dev/null
+++ b/tests/http1/test_descriptors.py
@@ -0,0 +1,151 @@
+"""Limits of the connections of a server and of a client."""
+
+import pytest
+from twisted.internet import error
+from twisted.python import failure
+
+from rhubarbspar.http1 import descriptors
+from rhubarbspar.http1 import errors
+from rhubarbspar.http1 import messages
+from tests.http1 import conftest
+from tests.http1 import test_client
+
+GET = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+HALF = b'GET / HTTP/1.1\r\nHos'
+OK = messages.Response(200, body=b'body')
+LATER_MS = 1000
+
+
+def serve(limit, *, evicts_partial=False):
+    """Return a site with a limit and one connection for refusals; one connection is open."""
+    surplus = descriptors.ConnectionLimit('surplus', 1)
+    limited = descriptors.ConnectionLimit('callers', limit, surplus, evicts_partial)
+    return conftest.ServedConnection(connections=limited)
+
+
+def test_connection_that_is_idle_longest_gives_way():
+    """Guards against callers that are kept out by idle connections, and against cut requests."""
+    served = serve(3)
+    served.receive(GET)
+    idle_channel, idle = served.connect()
+    served.now_ms += 1
+    _, younger = served.connect()
+    idle_channel.dataReceived(GET)
+    served.exchanges[1].respond(OK)
+    served.now_ms += LATER_MS
+    served.connect()
+    assert (served.transport.disconnected, idle.disconnected, younger.disconnected) == (0, 0, 1)
+    served.connect()
+    assert (served.transport.disconnected, idle.disconnected) == (0, 1)
+    assert served.site.connections.open_count == 3
+
+
+@pytest.mark.parametrize('reason', ['pending', 'unsent', 'unread', 'just opened', 'half'])
+def test_connection_that_may_carry_a_request_stays_open(reason):
+    """Guards against requests that are lost when their connection closes for another one."""
+    served = serve(1)
+    served.transport.stalled = reason == 'unsent'
+    served.transport.unread = GET if reason == 'unread' else b''
+    served.receive({'pending': GET, 'unsent': GET, 'half': HALF}.get(reason, b''))
+    if reason == 'unsent':
+        served.exchanges[0].respond(OK)
+    served.now_ms += 50 if reason == 'just opened' else LATER_MS
+    surplus, transport = served.connect()
+    surplus.dataReceived(GET)
+    assert transport.value().startswith(b'HTTP/1.1 503 ')
+    assert b'retry-after: 1\r\n' in transport.value()
+    assert b'connection: close\r\n' in transport.value()
+    assert not served.transport.disconnected
+    assert served.site.buildProtocol(None) is None
+
+
+def test_half_requests_give_way_where_no_caller_sends_them():
+    """Guards against strangers at an internal port that keep out those whom it serves."""
+    served = serve(1, evicts_partial=True)
+    served.receive(HALF)
+    served.now_ms += LATER_MS
+    channel, _ = served.connect()
+    channel.dataReceived(GET)
+    assert len(served.exchanges) == 1
+    assert served.transport.disconnected
+
+
+@pytest.mark.parametrize('sent', [b'', HALF, GET])
+def test_surplus_connection_gives_way_to_a_newer_one(sent):
+    """Guards against callers without any answer while strangers hold the surplus connections."""
+    served = serve(1)
+    served.receive(GET)
+    first, transport = served.connect()
+    first.dataReceived(sent)
+    served.now_ms += LATER_MS
+    second, newer = served.connect()
+    second.dataReceived(GET)
+    assert transport.disconnected
+    assert newer.value().startswith(b'HTTP/1.1 503 ')
+
+
+def test_silent_surplus_connection_is_closed():
+    """Guards against descriptors that connections hold which only wait for a refusal."""
+    served = serve(1)
+    served.receive(GET)
+    _, surplus = served.connect()
+    served.now_ms += LATER_MS + 1
+    served.site.close_expired()
+    assert surplus.disconnected
+    assert served.site.connections.surplus.open_count == 0
+
+
+def test_reports_count_what_is_new():
+    """Guards against log lines that repeat old evictions."""
+    limited = descriptors.ConnectionLimit('servers', 0)
+    assert limited.take_turned_away() is None
+    assert not limited.acquire()
+    assert limited.take_turned_away() == (('evicted', 0), ('refused', 1))
+    assert limited.take_turned_away() is None
+
+
+RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
+
+
+def test_idle_connection_to_one_server_gives_way_to_that_of_another():
+    """Guards against attempts that cannot open a connection beside idle ones to other servers."""
+    limited = descriptors.ConnectionLimit('servers', 1)
+    first, second = test_client.OpenedPool(limited), test_client.OpenedPool(limited)
+    first.start()
+    first.connections[0].dataReceived(RESPONSE)
+    second.start()
+    assert first.connections[0].transport.disconnected
+    assert not first.pool.idle
+    assert limited.open_count == 1
+    second.connections[0].dataReceived(RESPONSE)
+    assert second.outcomes[0].status == 200
+
+
+def test_call_ends_at_once_when_all_connections_are_in_use():
+    """Guards against attempts that wait for their deadline without a connection."""
+    limited = descriptors.ConnectionLimit('servers', 1)
+    opened = test_client.OpenedPool(limited)
+    opened.start()
+    opened.start()
+    assert [type(outcome) for outcome in opened.outcomes] == [errors.NoSocketError]
+    opened.lose(error.ConnectionLost())
+    assert limited.open_count == 0
+
+
+@pytest.mark.parametrize(
+    ('reason', 'expected'),
+    [
+        (error.ConnectBindError(24, 'Too many open files'), errors.NoSocketError),
+        (error.ConnectionRefusedError(), errors.ConnectError),
+    ],
+)
+def test_lack_of_descriptors_is_told_from_an_unreachable_server(reason, expected):
+    """Guards against servers that are avoided because this process has no descriptor left."""
+    limited = descriptors.ConnectionLimit('servers', 1)
+    opened = test_client.OpenedPool(limited)
+    call = test_client.client.Call(test_client.REQUEST, opened.outcomes.append)
+    opened.pool.start(call, 300)
+    factory = opened.clock.tcpClients[0][2]
+    factory.clientConnectionFailed(None, failure.Failure(reason))
+    assert [type(outcome) for outcome in opened.outcomes] == [expected]
+    assert limited.open_count == 0
