Answer connections beyond the limit as far as possible

Cause: while strangers hold the surplus connections too, a new one was closed without any answer; at the internal ports, a surplus connection got 503, which says at the readiness port that the instance is not ready.

Change: such a connection gets the refusal before it closes, without a look at its request. The internal ports answer on surplus connections as on others and close them.

--- a/rhubarbspar/gateway/listeners.py
+++ b/rhubarbspar/gateway/listeners.py
@@ -1,5 +1,6 @@
 """HTTP listeners of a gateway: callers, readiness checks, look-ups and metrics."""
 
+import dataclasses
 import socket
 import typing
 from collections import abc
@@ -179,13 +180,18 @@
     def _serve(
         self, address: str, respond: _Respond, connections: descriptors.ConnectionLimit
     ) -> None:
-        """Open a port whose requests are answered at once."""
+        """Open a port whose requests are answered at once, on surplus connections too."""
+
+        def answer_once(request: messages.Request) -> messages.Response:  # noqa: WPS430
+            return dataclasses.replace(respond(request), keep_alive=False)
+
         site = server.Site(
             lambda exchange: exchange.respond(respond(exchange.request)),
             lambda: _INTERNAL_LIMITS,
             self._clock_ms,
             self._budget,
             connections=connections,
+            refuse_surplus=answer_once,
         )
         self._listen(address, site)
 
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -120,21 +120,24 @@
         self.connections = connections or descriptors.ConnectionLimit()
         self._screen = screen
         self._refuse_surplus = refuse_surplus or _refuse_surplus
+        # What a connection gets that closes before its request is read. A response that depends on
+        # the request cannot be given then.
+        self._last_word = b'' if refuse_surplus else _REFUSAL_BYTES
         self.channels: set[Channel] = set()
         self.closing = False
         self.on_refusal: abc.Callable[[int], None] | None = None
 
-    def buildProtocol(self, addr: typing.Any) -> 'Channel | None':  # noqa: N802
-        """Return the protocol of a new connection; ``None`` closes it at once.
+    def buildProtocol(self, addr: typing.Any) -> protocol.Protocol:  # noqa: N802
+        """Return the protocol of a new connection.
 
         At the limit, it takes the place of the connection that has been idle longest. If none is
-        idle, its request is refused; it is only closed if too many are refused already.
+        idle, its request is refused. If too many are refused already, it is closed at once.
         """
         idle_since_max_ms = self.clock_ms() - const.EVICTION_IDLE_MIN_MS
         for connections in (self.connections, self.connections.surplus):
             if connections is not None and connections.acquire(idle_since_max_ms):
                 return Channel(self, connections)
-        return None
+        return _Refusal(self)
 
     def refuse_by_head(
         self, request: messages.Request, *, is_surplus: bool
@@ -150,6 +153,10 @@
             return self._refuse_surplus(request)
         return None if self._screen is None else self._screen(request)
 
+    def close_unread(self, transport: typing.Any) -> None:
+        """Close a connection of which no request is read, with a refusal if it is always the same."""
+        transports.close(transport, self._last_word)
+
     @property
     def unsent_count(self) -> int:
         """Return the number of connections with a response that may not have arrived yet.
@@ -161,8 +168,9 @@
     def close_expired(self) -> None:
         """Close connections that are idle or stalled, and refuse requests that are overdue."""
         now_ms = self.clock_ms()
+        limits = self.limits()
         for channel in tuple(self.channels):
-            channel.check_time(now_ms)
+            channel.check_time(now_ms, limits)
 
     def abort(self) -> None:
         """Close all connections immediately."""
@@ -223,7 +231,10 @@
         """Close the idle connection at once, unless a request of the client has arrived."""
         if not self.closing and transports.has_unread(self.transport):
             return False
-        transports.close(self.transport)
+        if self._is_surplus and not self.closing:
+            self._site.close_unread(self.transport)
+        else:
+            transports.close(self.transport)
         return True
 
     def readConnectionLost(self) -> None:  # noqa: N802
@@ -248,7 +259,7 @@
             self._check_partial(self._parser.partial)
         self._update_idle()
 
-    def check_time(self, now_ms: float) -> None:
+    def check_time(self, now_ms: float, limits: Limits) -> None:
         """Close the connection if it is idle or stalled; refuse a request that is overdue."""
         if self.closing and self.writer.is_sent:
             return
@@ -257,7 +268,7 @@
         elif self._reading.waited_ms(now_ms) > const.MEMORY_WAIT_MAX_MS:
             self._refuse(_OUT_OF_MEMORY)
         elif not self._pending:
-            self._check_idle(self._parser.partial, now_ms)
+            self._check_idle(self._parser.partial, now_ms, limits)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is pending or being received."""
@@ -337,9 +348,10 @@
         if not self.closing:
             self._reading.switch(self.transport, is_paused=must_pause)
 
-    def _check_idle(self, partial: request_parser.PartialRequest, now_ms: float) -> None:
+    def _check_idle(
+        self, partial: request_parser.PartialRequest, now_ms: float, limits: Limits
+    ) -> None:
         """Close a connection without a pending request, or refuse the head of a slow one."""
-        limits = self._site.limits()
         if partial.started and not partial.head_complete:
             if now_ms - partial.started_ms > limits.header_timeout_ms:
                 self._refuse(messages.Response(const.STATUS_REQUEST_TIMEOUT, keep_alive=False))
@@ -392,6 +404,17 @@
             self._update_idle()
 
 
+class _Refusal(protocol.Protocol):
+    """A connection that closes at once."""
+
+    def __init__(self, site: Site) -> None:
+        self._site = site
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Close the connection and its descriptor."""
+        self._site.close_unread(self.transport)
+
+
 @dataclasses.dataclass(slots=True)
 class _Reading:
     """Whether a connection is read.
@@ -436,6 +459,11 @@
 )
 
 
+_REFUSAL_BYTES: typing.Final = messages.serialize_response_head(
+    _TOO_MANY_CONNECTIONS, to_head=False, close=True
+)
+
+
 def _refuse_surplus(_request: messages.Request) -> messages.Response:
     return _TOO_MANY_CONNECTIONS
 
--- a/rhubarbspar/http1/transports.py
+++ b/rhubarbspar/http1/transports.py
@@ -1,5 +1,6 @@
 """Options of TCP transports."""
 
+import contextlib
 import socket
 import typing
 
@@ -8,6 +9,8 @@
 
 from rhubarbspar.http1 import const
 
+_DRAINED_BYTES: typing.Final = 65_536
+
 
 def set_tcp_options(transport: typing.Any) -> None:
     """Set TCP_NODELAY, and TCP_USER_TIMEOUT to close the connection to an unreachable peer."""
@@ -25,9 +28,19 @@
         return False
 
 
-def close(transport: typing.Any) -> None:
+def close(transport: typing.Any, last_word: bytes = b'') -> None:
     """Close a connection on which nothing is unsent, and its descriptor, at once.
 
     The methods of the transport leave the descriptor open until the reactor's next round.
+
+    Parameters
+    ----------
+    last_word
+        What the peer still gets, if it fits into the buffer of the system.
     """
+    if last_word:
+        with contextlib.suppress(OSError):
+            transport.socket.send(last_word)
+            # Closing with unread bytes resets the connection.
+            transport.socket.recv(_DRAINED_BYTES)
     transport.connectionLost(failure.Failure(error.ConnectionDone()))
