--- a/rhubarbspar/gateway/program.py
+++ b/rhubarbspar/gateway/program.py
@@ -32,6 +32,8 @@
 import os
 import pathlib
 
+# File descriptors that the process may use.
+_ENV_DESCRIPTORS = 'GATEWAY_DESCRIPTORS'
 # Memory that the process may use, megabytes.
 _ENV_MEMORY_MB = 'GATEWAY_MEMORY_MB'
 _EXIT_START_FAILED = 1
@@ -57,7 +59,9 @@
             'target/deps of the repository\n'
         )
         return _EXIT_START_FAILED
-    return int(daemon.run(settings_path, os.environ.get(_ENV_MEMORY_MB, '')))
+    memory_mb = os.environ.get(_ENV_MEMORY_MB, '')
+    descriptor_count = os.environ.get(_ENV_DESCRIPTORS, '')
+    return int(daemon.run(settings_path, memory_mb, descriptor_count))
 
 
 def main() -> int:
--- a/rhubarbspar/http1/transports.py
+++ b/rhubarbspar/http1/transports.py
@@ -4,8 +4,13 @@
 import socket
 import typing
 
+from twisted.internet import error
+from twisted.python import failure
+
 from rhubarbspar.http1 import const
 
+_DRAINED_BYTES: typing.Final = 65_536
+
 
 def set_tcp_options(transport: typing.Any) -> None:
     """Set TCP_NODELAY, and TCP_USER_TIMEOUT to close the connection to an unreachable peer."""
@@ -20,12 +25,34 @@
 
     Return false, and leave it open, if the peer has sent bytes that are not read yet.
     """
-    try:
-        unread = transport.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except OSError:
-        unread = b''
-    if unread:
+    if has_unread(transport):
         return False
     with contextlib.suppress(OSError):
         transport.socket.shutdown(socket.SHUT_WR)
     return True
+
+
+def has_unread(transport: typing.Any) -> bool:
+    """Return whether the peer has sent bytes that are not read yet."""
+    try:
+        return bool(transport.socket.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+def close(transport: typing.Any, last_word: bytes = b'') -> None:
+    """Close a connection on which nothing is unsent, and its descriptor, at once.
+
+    The methods of the transport leave the descriptor open until the reactor's next round.
+
+    Parameters
+    ----------
+    last_word
+        What the peer still gets, if it fits into the buffer of the system.
+    """
+    if last_word:
+        with contextlib.suppress(OSError):
+            transport.socket.send(last_word)
+            # Closing with unread bytes resets the connection.
+            transport.socket.recv(_DRAINED_BYTES)
+    transport.connectionLost(failure.Failure(error.ConnectionDone()))
--- a/rhubarbspar/peers/transport.py
+++ b/rhubarbspar/peers/transport.py
@@ -18,13 +18,14 @@
 from rhubarbspar.core import effects
 from rhubarbspar.core import events
 from rhubarbspar.core import messages
+from rhubarbspar.http1 import descriptors
 from rhubarbspar.http1 import memory
 from rhubarbspar.peers import codec
 from rhubarbspar.peers import connection
 from rhubarbspar.peers import const
 from rhubarbspar.peers import errors
 from rhubarbspar.peers import handshake
-from rhubarbspar.peers import opening
+from rhubarbspar.peers import incoming
 from rhubarbspar.peers import registry
 
 # Failures are counted by reason; log lines of the websockets library would only repeat them.
@@ -72,6 +73,9 @@
         Message classes by type name; those of the entry instances if omitted.
     bound_socket
         Socket on which peers connect; by default one is bound to the listening address.
+    handshakes
+        Bounds the incoming connections before the end of their handshake; by default there may be
+        any number.
     """
 
     def __init__(
@@ -81,7 +85,9 @@
         report: abc.Callable[[effects.Effect], None],
         message_types: registry.MessageTypes | None = None,
         bound_socket: socket.socket | None = None,
+        handshakes: descriptors.ConnectionLimit | None = None,
     ) -> None:
+        self._handshakes = handshakes or descriptors.ConnectionLimit()
         self._settings = settings
         self._bound_socket = bound_socket
         self._deliver = deliver
@@ -105,9 +111,10 @@
             listening = {'host': self._settings.host, 'port': self._settings.port}
         refuse = functools.partial(self._count, const.REASON_OPENING_TOO_LARGE)
         # The library takes a class.
-        create: typing.Any = functools.partial(opening.OpeningConnection, refuse)
+        create: typing.Any = functools.partial(incoming.Connection, self._handshakes, refuse)
         self._server = await server.serve(
             self._accept,
+            backlog=incoming.backlog(self._handshakes),
             create_connection=create,
             **listening,
             **_OPTIONS,
@@ -233,7 +240,8 @@
             return
         finally:
             self._pending_handshakes -= 1
-        opening.lift_bound(websocket)
+        if isinstance(websocket, incoming.Connection):
+            websocket.finish_handshake()
         preferred = identity.instance_id < self._settings.instance_id
         peer = connection.PeerConnection(identity, websocket, self._send_budget)
         await self._start_task(self._run_connection(peer, preferred=preferred))
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -16,6 +16,7 @@
 from rhubarbspar.helpers import durations
 from rhubarbspar.http1 import bodies
 from rhubarbspar.http1 import client
+from rhubarbspar.http1 import descriptors
 from rhubarbspar.http1 import errors as http_errors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
@@ -50,6 +51,8 @@
     budget
         The budget of the process; the answers draw on a part of it, so that they do not wait for
         other messages.
+    connections
+        Bounds the open connections; by default there may be any number.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         clock_ms: abc.Callable[[], float],
         limits: memory_limits.StoreLimits,
         budget: memory.MemoryBudget,
+        connections: descriptors.ConnectionLimit | None = None,
     ) -> None:
         """Prepare the connection pool; the first call opens a connection."""
         host, port = addresses.split_host_port(address)
@@ -67,7 +71,7 @@
         endpoint = client.Endpoint(host, port)
         self._limits = limits
         part = budget.part(limits.answer_max_bytes)
-        self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS, part)
+        self._pool = client.Pool(reactor, endpoint, clock_ms, IDLE_MAX_MS, part, connections)
         self._calls: set[client.Call] = set()
         # Number of times that the store was restored, by its answers; 0 if it does not tell.
         self.era = 0
