--- a/tests/soak/models.py
+++ b/tests/soak/models.py
@@ -196,6 +196,8 @@
         When the store accepted that a key no longer holds, by key.
     stops_s
         When a planned stop of an instance began.
+    configured_s
+        When the store accepted each configuration.
     quotas
         Rate and burst of each account, by configuration.
     notes
@@ -212,6 +214,7 @@
     reloads_s: list[tuple[int, float]] = dataclasses.field(default_factory=list)
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     rollouts: list[Rollout] = dataclasses.field(default_factory=list)
+    configured_s: list[float] = dataclasses.field(default_factory=list)
     quotas: list[list[tuple[float, float]]] = dataclasses.field(default_factory=list)
     usages: list[Usage] = dataclasses.field(default_factory=list)
     notes: list[str] = dataclasses.field(default_factory=list)
