--- a/tests/soak/site_deployment.py
+++ b/tests/soak/site_deployment.py
@@ -403,7 +403,10 @@
     async def _ask(self, asker, member):
         started_s = member.started_s
         answer = await asker.fetch(instances.HOST, member.ports['readiness'], '/readiness', READY_S)
-        if answer.status == 200 and member.started_s == started_s:
+        if member.started_s != started_s:
+            # The process has been started anew in the meantime.
+            return
+        if answer.status == 200:
             member.was_ready = True
         now_s = self.clock_s()
         took_s = now_s - started_s - self.ledger.waited_s(member.number, started_s, now_s)
