--- a/tests/soak/site_callers.py
+++ b/tests/soak/site_callers.py
@@ -22,6 +22,7 @@
 DENIALS_MAX = 3
 TICK_S = 0.02
 LOOKUP_PAUSE_S = 0.5
+REFUSED_PAUSE_S = 0.1
 RETRIES = 1
 _PROMISES = frozenset((408, 421, 429, 503))
 _FINAL = frozenset((400, 401, 403, 404, 413, 431))
@@ -69,6 +70,7 @@
                 continue
             if sent.end == 'refused':
                 failed.add(sent.instance)
+                await self._world.sleep(REFUSED_PAUSE_S)
             if sent.end in {'refused', 'unread'}:
                 is_fresh = sent.end == 'refused'
                 continue
