--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import importlib
-import pathlib
 import signal
 import sys
 import time
@@ -26,6 +25,7 @@
 from rhubarbspar.gateway import process_usage
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import settings_wait
+from rhubarbspar.gateway import settings_watch
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway import store_tasks
 from rhubarbspar.gateway import supervision
@@ -69,14 +69,14 @@
     ) -> None:
         """Create all parts without opening a socket."""
         self._budget = initial_state.make_budget(memory_mb)
-        self._settings_path = pathlib.Path(settings_path)
         self._settings = settings
-        self._settings_text = self._read_settings_text()
+        self._settings_watch = settings_watch.SettingsWatch(settings_path)
         self._reactor = reactor
         self._counters = metrics.Metrics(settings.instance_id)
         self._counters.add_gauges(process_usage.read_gauges)
         self._member = initial_state.make_member(settings)
-        self._state = initial_state.create(settings, self._member)
+        store_limits = initial_state.make_store_limits(settings, self._budget)
+        self._state = initial_state.create(settings, self._member, store_limits)
         process = effect_driver.Process(
             lambda: self._listeners.caller_site.close_idle(),
             lambda: self._listeners.stop_accepting(),
@@ -89,7 +89,7 @@
         self._backends = backend_client.BackendClient(reactor, deliver, clock_ms, self._budget)
         self._store = store_tasks.StoreTasks(
             reactor,
-            store.Store(reactor, settings.store_address, clock_ms),
+            store.Store(reactor, settings.store_address, clock_ms, store_limits, self._budget),
             self._member,
             deliver,
             self._driver.report,
@@ -103,6 +103,8 @@
         self._supervisor = supervision.Supervisor(
             reactor, self._driver.report_exception, self._end_start
         )
+        self._is_open = False
+        self._is_exiting = False
         self.exit_code = 0
 
     def start(self) -> None:
@@ -121,17 +123,19 @@
         self._store.close()
 
     def request_stop(self) -> None:
-        """Begin a planned stop."""
+        """Begin a planned stop; the process exits at once if its ports are not open yet."""
         self._listeners.caller_site.closing = True
-        self._driver.deliver(core_events.StopRequested())
+        if self._is_open:
+            self._driver.deliver(core_events.StopRequested())
+            return
+        self._supervisor.close()
+        self._driver.report(core_effects.Log('stopped'))
+        self._exit()
 
     def reload(self) -> None:
         """Read the settings again; if they are absent or invalid, the last ones stay in force."""
-        text = self._read_settings_text()
-        if text is not None:
-            self._settings_text = text
         try:
-            settings = gateway_settings.load(self._settings_path)
+            settings = self._settings_watch.load()
         except exceptions.RhubarbsparError as error:
             self._driver.report(core_effects.Log('settings_invalid', (('error', str(error)),)))
             return
@@ -169,6 +173,9 @@
         await self._supervisor.bind(
             'ports', lambda: self._listeners.open(self._settings, self._driver.forwards)
         )
+        if self._is_exiting:
+            return
+        self._is_open = True
         self._supervisor.run('watch_records', self._store.watch_records)
         self._supervisor.run('keep_registered', self._store.keep_registered)
         self._supervisor.run('metrics', self._open_metrics)
@@ -222,27 +229,29 @@
         """
         self._driver.report_dropped_lines()
         self._memory_watch.check()
-        text = self._read_settings_text()
-        if text not in {None, self._settings_text}:
+        if self._settings_watch.has_changed():
             self.reload()
 
-    def _read_settings_text(self) -> bytes | None:
-        try:
-            return self._settings_path.read_bytes()
-        except OSError:
-            return None
-
     def _exit(self) -> None:
+        if self._is_exiting:
+            return
+        self._is_exiting = True
         # The delay lets the last responses be written before the process ends.
         self._reactor.callLater(_EXIT_DELAY_S, self._reactor.stop)
 
     def _end_start(self, _error: Exception) -> None:
-        """End the process: it cannot serve, and the platform starts it again."""
+        """End the process: it cannot serve, and the platform starts it again.
+
+        A planned stop that has begun ends as planned.
+        """
+        if self._state.is_stopping or self._is_exiting:
+            return
         self.exit_code = EXIT_START_FAILED
         self._exit()
 
 
 _EXIT_DELAY_S: typing.Final = 0.15
+_STOP_SIGNALS: typing.Final = (signal.SIGINT, signal.SIGTERM)
 
 
 def run(settings_path: str, memory_mb: str = '') -> int:
@@ -261,14 +270,21 @@
     reactor = importlib.import_module('twisted.internet.reactor')
     daemon = Daemon(settings_path, settings, reactor, memory_mb)
     reactor.callWhenRunning(daemon.start)
-    reactor.callWhenRunning(_install_signal_handlers, daemon)
+    _handle_signals(loop, daemon)
     reactor.run(installSignalHandlers=False)
+    _ignore_signals()
     stream.flush()
     return daemon.exit_code
 
 
-def _install_signal_handlers(daemon: Daemon) -> None:
-    loop = asyncio.get_event_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+def _handle_signals(loop: asyncio.AbstractEventLoop, daemon: Daemon) -> None:
+    """Let the loop handle the signals; one that comes before it runs is handled when it does."""
+    for number in _STOP_SIGNALS:
         loop.add_signal_handler(number, daemon.request_stop)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+
+
+def _ignore_signals() -> None:
+    """Ignore signals: the interpreter restores the default actions of others when it ends."""
+    for number in (*_STOP_SIGNALS, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/quotas.py
@@ -8,6 +8,8 @@
 - Every instance also estimates the bucket of the whole fleet. While that one holds enough
   tokens, a request is admitted without a local token.
 - The demand at a silent peer is assumed to grow in proportion to the local demand.
+- Where relays report sums, the silent instances are no part of them; the demand there is assumed to
+  be as large as at those that are heard, on average.
 """
 
 import dataclasses
@@ -75,7 +77,7 @@
     silent
         Whether there was no heartbeat of the peer for ``SILENT_MS``.
     is_partial
-        Whether its sums include estimates for instances whose heartbeats have stopped.
+        Whether its sums leave out, or only estimate, instances that are not heard.
     """
 
     series: tuple[str, int]
@@ -117,6 +119,9 @@
         Whether the peers should learn of admitted requests before the next heartbeat is due.
     division
         How the limits are divided among the instances.
+    heard_share
+        Share of the instances, of those that may be running, that the sums of the relays include;
+        1 in a fleet without relays.
     """
 
     accounts: dict[str, buckets.Bucket] = dataclasses.field(default_factory=dict)
@@ -125,6 +130,7 @@
     last_sums_id: int = 0
     is_urgent: bool = False
     division: buckets.Division = buckets.Division(GUARANTEED_SHARE_MAX)
+    heard_share: float = 1
 
     def divide_among(self, size: fleet_size.FleetSize) -> None:
         """Divide the limits of the accounts by the number of instances."""
@@ -132,7 +138,7 @@
         start_share = None
         if size.known_for_ms < START_MS:
             start_share = min(1.0, START_EQUAL_PARTS / size.instances)
-        self.division = buckets.Division(least_share, start_share)
+        self.division = buckets.Division(least_share, start_share, self.heard_share)
 
     def admit(self, account: models.ClientAccount, now_ms: float) -> float | None:
         """Take a token for a request of an account.
@@ -159,13 +165,8 @@
 
     @property
     def is_partial(self) -> bool:
-        """Return whether some peer speaks for instances whose heartbeats have stopped."""
-        return any(peer.is_partial for peer in self.peers.values())
-
-    @property
-    def has_silent_peers(self) -> bool:
-        """Return whether the sums include estimates for instances that are not heard."""
-        return any(peer.is_partial or peer.silent for peer in self.peers.values())
+        """Return whether the sums leave out, or only estimate, instances that are not heard."""
+        return self.heard_share < 1 or any(peer.is_partial for peer in self.peers.values())
 
     def report(self, now_ms: float) -> tuple[messages.AccountUsage, ...]:
         """Return the sums of every account at this instance and its children."""
@@ -255,18 +256,21 @@
             if peer_id not in kept_ids:
                 self.forget_peer(peer_id, now_ms)
 
-    def expire_peers(self, now_ms: float) -> None:
-        """Mark peers without recent heartbeats as silent, and forget those that stay silent."""
+    def expire_peers(self, now_ms: float, *, has_relays: bool = False) -> None:
+        """Mark peers without recent heartbeats as silent, and forget those that stay silent.
+
+        Parameters
+        ----------
+        has_relays
+            Whether relays report sums; then ``heard_share`` covers the silent peers at once.
+        """
+        kept_ms = SILENT_MS if has_relays else PEER_KEPT_MS
         for peer_id, peer in tuple(self.peers.items()):
             silent_ms = now_ms - peer.last_heartbeat_ms
-            if silent_ms > SILENT_MS and not peer.silent:
-                peer.silent = True
-                for account_id, use in peer.uses.items():
-                    bucket = self._refilled_bucket(account_id, now_ms)
-                    bucket.mark_silent(use.demand_per_s, is_child=peer.is_child)
-                    use.silent_from_s = bucket.assumed_s
-            if silent_ms > PEER_KEPT_MS:
+            if silent_ms > kept_ms:
                 self.forget_peer(peer_id, now_ms)
+            elif silent_ms > SILENT_MS and not peer.silent:
+                self._mark_silent(peer, now_ms)
 
     def forget_peer(self, peer_id: str, now_ms: float) -> None:
         """Remove a peer and its demand."""
@@ -282,6 +286,14 @@
             else:
                 bucket.peer_demand_per_s = max(0.0, bucket.peer_demand_per_s - use.demand_per_s)
 
+    def _mark_silent(self, peer: _Peer, now_ms: float) -> None:
+        """Estimate the demand at a peer from now on."""
+        peer.silent = True
+        for account_id, use in peer.uses.items():
+            bucket = self._refilled_bucket(account_id, now_ms)
+            bucket.mark_silent(use.demand_per_s, is_child=peer.is_child)
+            use.silent_from_s = bucket.assumed_s
+
     def _refresh_peer(
         self, peer_id: str, series: tuple[str, int], now_ms: float, *, is_child: bool
     ) -> _Peer:
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -6,13 +6,13 @@
 import typing
 from collections import abc
 
-import httptools
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
 from zope import interface  # type: ignore[import-untyped]
 
 from rhubarbspar.http1 import const
+from rhubarbspar.http1 import errors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import request_parser
@@ -200,8 +200,8 @@
         self._last_active_ms = self._site.clock_ms()
         try:
             self._parser.feed(chunk)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._refuse(messages.Response(const.STATUS_BAD_REQUEST, keep_alive=False))
+        except errors.MalformedError as error:
+            self._refuse(_describe(error))
             return
         if self._parser.partial.started and not self.closing:
             self._check_partial(self._parser.partial)
@@ -219,7 +219,8 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is pending or being received."""
-        if not (self._pending or self._parser.partial.started or self.closing):
+        is_busy = self._pending or self._parser.partial.started or self.closing
+        if not is_busy and _end_writing(self):
             self._close()
 
     def flush(self) -> None:
@@ -298,7 +299,7 @@
         if partial.started and not partial.head_complete:
             if now_ms - partial.started_ms > limits.header_timeout_ms:
                 self._refuse(messages.Response(const.STATUS_REQUEST_TIMEOUT, keep_alive=False))
-        elif now_ms - self._last_active_ms > limits.idle_timeout_ms:
+        elif now_ms - self._last_active_ms > limits.idle_timeout_ms and _end_writing(self):
             self._close()
 
     def _write(self, exchange: Exchange, response: messages.Response, *, close: bool) -> None:
@@ -390,6 +391,21 @@
 )
 
 
+def _describe(error: errors.MalformedError) -> messages.Response:
+    """Return the response to a malformed request."""
+    headers = ((b'content-type', b'text/plain'),)
+    reason = str(error).encode()
+    return messages.Response(const.STATUS_BAD_REQUEST, headers, reason, keep_alive=False)
+
+
+def _end_writing(channel: Channel) -> bool:
+    """Close the write side of an idle connection, unless a request has arrived that is not read.
+
+    Return false in that case. A request that arrives later finds the write side closed.
+    """
+    return not channel.writer.is_sent or transports.end_writing(channel.transport)
+
+
 def _find_excess(partial: request_parser.PartialRequest, site: Site) -> messages.Response | None:
     """Return the response that refuses a request which exceeds a limit."""
     limits = site.limits()
--- a/rhubarbspar/platform/errors.py
+++ b/rhubarbspar/platform/errors.py
@@ -30,6 +30,14 @@
         self.status = status
 
 
+class MalformedAnswerError(StoreError):
+    """An answer of the store has another form than the call asks for."""
+
+
+class TooLargeError(StoreError):
+    """An answer of the store, or all its records, exceed what it may hold."""
+
+
 class CompactedError(StoreError):
     """The store has compacted changes after the requested revision; a new read is required."""
 
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -24,6 +24,7 @@
     'services': {'columns': ['name'], 'rows': [['stock']]},
     'tenants': {'columns': ['name', 'apiKeys'], 'rows': [['workshop', ['key-1']]]},
 }
+ATTEMPT_ID = b'x-rhubarbspar-attempt-id'
 SERVER_HEADERS = ((b'x-seal', b'1'), (b'x-rhubarbspar-server-load', b'1,0,3'))
 
 
@@ -55,6 +56,28 @@
     return socket.create_server((host, int(port)))
 
 
+def free_addresses(host):
+    """Return free addresses for callers, readiness checks and look-ups, by name."""
+    return {name: free_address(host) for name in ('front', 'ready', 'directory')}
+
+
+def fill_settings(instance_id, store_address, host, addresses):
+    """Return the settings of a gateway that listens on ``addresses`` and other ports of a host."""
+    placeholders = {
+        **test_settings.VALUES,
+        'node': json.dumps(instance_id),
+        'listen.front': json.dumps(addresses['front']),
+        'listen.ready': json.dumps(addresses['ready']),
+        'listen.directory': json.dumps(addresses['directory']),
+        'provider.address': json.dumps(store_address),
+        'ip': host,
+        'internalPorts.0': free_address(host).rpartition(':')[2],
+        'internalPorts.1': free_address(host).rpartition(':')[2],
+    }
+    text = test_settings.fill_template(placeholders)
+    return text.replace(f'{host}:9464', free_address(host))
+
+
 class Gateway:
     """A gateway on loopback ports; its parts use a reactor of the test's choice.
 
@@ -73,31 +96,15 @@
     def __init__(self, instance_id, store_address, reactor, folder, taken=()):
         """Start the gateway; another process holds the ports named in ``taken``."""
         self._host = own_host()
-        self.addresses = {
-            name: free_address(self._host) for name in ('front', 'ready', 'directory')
-        }
+        self.addresses = free_addresses(self._host)
         self.settings_path = folder / f'{instance_id}.jsonc'
-        self.settings_path.write_text(self._settings(instance_id, store_address))
+        text = fill_settings(instance_id, store_address, self._host, self.addresses)
+        self.settings_path.write_text(text)
         loaded = settings.load(self.settings_path)
         self.taken = [hold(getattr(loaded, name)) for name in taken]
         self.daemon = gateway_daemon.Daemon(str(self.settings_path), loaded, reactor)
         self.daemon.start()
 
-    def _settings(self, instance_id, store_address):
-        placeholders = {
-            **test_settings.VALUES,
-            'node': json.dumps(instance_id),
-            'listen.front': json.dumps(self.addresses['front']),
-            'listen.ready': json.dumps(self.addresses['ready']),
-            'listen.directory': json.dumps(self.addresses['directory']),
-            'provider.address': json.dumps(store_address),
-            'ip': self._host,
-            'internalPorts.0': free_address(self._host).rpartition(':')[2],
-            'internalPorts.1': free_address(self._host).rpartition(':')[2],
-        }
-        text = test_settings.fill_template(placeholders)
-        return text.replace(f'{self._host}:9464', free_address(self._host))
-
 
 class Deployment:
     """A store, a backend server and a gateway on loopback ports; more gateways can be added.
@@ -151,11 +158,11 @@
         record = {**CONFIGURATION, 'version': f'r{version}', 'routes': routes}
         self.store.put('op/config', json.dumps(record).encode())
 
-    def declare(self, state, sequence, server_id='s-1'):
-        """Register the backend server in a state, under an id."""
+    def declare(self, state, sequence, server_id='s-1', port=None):
+        """Register the backend server, or another one at a port, in a state and under an id."""
         record = {
             'service': 'stock',
-            'address': f'127.0.0.1:{self.server_port}',
+            'address': f'127.0.0.1:{port or self.server_port}',
             'zone': 'almaty-a',
             'version': 'v1',
             'slots': 3,
@@ -168,12 +175,14 @@
         """Send a GET request to an address of the first gateway and return the response."""
         return await self.call_address(self.addresses[address_name], path, key)
 
-    async def call_address(self, address, path, key='key-1'):
-        """Send a GET request to an address and return the response."""
+    async def call_address(self, address, path, key='key-1', body=b'', more_headers=()):
+        """Send a GET request, or a POST with a body, to an address and return the response."""
         host, _, port = address.rpartition(':')
         headers = ((b'host', b'shop.example'), (b'authorization', f'Bearer {key}'.encode()))
         finished = defer.Deferred()
-        call = client.Call(messages.Request(b'GET', path, headers), finished.callback)
+        method = b'POST' if body else b'GET'
+        request = messages.Request(method, path, (*headers, *more_headers), body)
+        call = client.Call(request, finished.callback)
         pool = client.Pool(self.loop.reactor, client.Endpoint(host, int(port)), lambda: 0.0, 1000)
         pool.start(call, 1000)
         outcome = await finished
@@ -195,5 +204,7 @@
 
     def _serve(self, exchange):
         self.received.append(exchange.request)
-        response = messages.Response(self.server_status, self.server_headers, b'in stock')
+        attempt_id = [each for each in exchange.request.headers if each[0] == ATTEMPT_ID]
+        headers = (*self.server_headers, *attempt_id)
+        response = messages.Response(self.server_status, headers, b'in stock')
         exchange.respond(response)
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -1,6 +1,8 @@
 """End-to-end tests in one process: caller, gateway, store and a backend server over sockets."""
 
 import json
+import os
+import socket
 
 import pytest
 
@@ -40,6 +42,22 @@
     deployment.loop.run(scenario())
 
 
+def test_target_in_absolute_form_is_served_like_one_in_origin_form(deployment):
+    """Guards against 404 for callers that send the whole URI in the request line."""
+
+    async def scenario():
+        await deployment.until_ready()
+        response = await deployment.call('front', b'http://shop.example/stock/7?a=b')
+        assert (response.status, response.body) == (200, b'in stock')
+        assert (await deployment.call('front', b'/stock/7?a=b')).status == 200
+        absolute, origin = deployment.received
+        assert (absolute.target, origin.target) == (b'/stock/7?a=b', b'/stock/7?a=b')
+        assert sorted(absolute.headers) == sorted(origin.headers)
+        assert (await deployment.call('front', b'http://other.example/stock/7')).status == 404
+
+    deployment.loop.run(scenario())
+
+
 def test_lookup_and_readiness_follow_the_planned_stop(deployment):
     """Guards against callers that are sent to a stopping instance, or that it refuses too early."""
 
@@ -61,6 +79,28 @@
     deployment.loop.run(scenario())
 
 
+def test_connections_that_wait_for_their_acceptance_are_served_when_a_port_closes(deployment):
+    """Guards against requests on new connections that are reset at the end of a planned stop."""
+    deployment.loop.run(deployment.until_ready())
+    host, _, port = deployment.addresses['front'].rpartition(':')
+    clients = [socket.create_connection((host, int(port)), 30) for _ in range(20)]
+    for client in clients:
+        client.sendall(b'GET /none/ HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\r\n')
+    listeners = deployment.gateway._listeners
+    listeners.stop_accepting()
+    deployment.loop.run(
+        deployment.loop.until(lambda: not any(map(is_open, listeners.caller_site.channels)))
+    )
+    for client in clients:
+        assert client.recv(1000).startswith(b'HTTP/1.1 4')
+        client.close()
+
+
+def is_open(channel):
+    """Return whether a connection may still get a response."""
+    return not channel.closing
+
+
 def test_draining_server_gets_no_request(deployment):
     """Guards against a store change that has no effect on the choice of the server."""
 
@@ -191,6 +231,29 @@
     deployment.loop.run(scenario())
 
 
+def make_large_file(path):
+    """Make a file without content that seems to hold 1 GB."""
+    with path.open('wb') as opened:
+        opened.truncate(10**9)
+
+
+@pytest.mark.parametrize(
+    'replace', [os.mkfifo, lambda path: path.symlink_to('/dev/zero'), make_large_file]
+)
+def test_settings_without_end_leave_the_last_ones_in_force(deployment, replace):
+    """Guards against a process that stands still or ends when its settings become something else."""
+    path = deployment.first.settings_path
+    text = path.read_text()
+    path.unlink()
+    replace(path)
+    deployment.gateway._check_settings()
+    deployment.gateway.reload()
+    path.unlink()
+    path.write_text(text.replace('"5s"', '"4s"'))
+    deployment.gateway._check_settings()
+    assert deployment.gateway._state.bounds.stop_grace_ms == 4000
+
+
 def test_settings_that_go_away_while_a_gateway_starts_are_no_fault(loop, tmp_path):
     """Guards against a process that ends because its settings are away for a moment."""
     path = tmp_path / 'settings.jsonc'
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -6,6 +6,7 @@
 from twisted.python import failure
 
 from rhubarbspar.http1 import client
+from rhubarbspar.http1 import const
 from rhubarbspar.http1 import errors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
@@ -141,6 +142,48 @@
     assert opened.outcomes[0].body == b'1'
 
 
+@pytest.mark.parametrize('body', [b'', b'x', bytes(8_000_000)], ids=len)
+@pytest.mark.parametrize('is_within_bound', [True, False])
+def test_responses_to_other_requests_are_skipped_up_to_a_bound(opened, body, is_within_bound):
+    """Guards against a call that skips responses without end, until its deadline."""
+    answer = b'HTTP/1.1 200 OK\r\nX-Id: %d\r\nContent-Length: %d\r\n\r\n%b'
+    opened.budget.limit_bytes = 10_000_000
+    opened.start(ECHO)
+    (connection,) = opened.connections
+    for _ in range(const.SKIPPED_RESPONSES_MAX):
+        connection.dataReceived(answer % (7, len(body), body))
+        assert not opened.outcomes
+        assert opened.budget.held_bytes <= const.READ_AHEAD_BYTES
+    connection.dataReceived(answer % (1 if is_within_bound else 7, len(body), body))
+    (outcome,) = opened.outcomes
+    assert isinstance(outcome, messages.Response if is_within_bound else errors.MalformedError)
+    assert connection.transport.aborted != is_within_bound
+
+
+def test_large_responses_to_other_requests_are_skipped_up_to_a_bound(opened):
+    """Guards against a call that reads large responses to other requests until its deadline."""
+    opened.budget.limit_bytes = 100_000_000
+    opened.start(ECHO)
+    (connection,) = opened.connections
+    for size_bytes in (const.RESPONSE_MAX_BYTES, 1):
+        assert not opened.outcomes
+        connection.dataReceived(
+            b'HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: %d\r\n\r\n' % size_bytes
+        )
+        connection.dataReceived(bytes(size_bytes))
+    assert isinstance(opened.outcomes[0], errors.MalformedError)
+    assert connection.transport.aborted
+    assert not opened.budget.held_bytes
+
+
+def test_response_to_another_request_than_head_ends_the_call(opened):
+    """Guards against a HEAD request that takes its response for the body of the skipped one."""
+    opened.start(ECHO, messages.Request(b'HEAD', b'/', ()))
+    opened.connections[0].dataReceived(b'HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 9\r\n\r\n')
+    assert isinstance(opened.outcomes[0], errors.MalformedError)
+    assert opened.connections[0].transport.aborted
+
+
 def test_refused_connection_means_that_nothing_was_sent(opened):
     """Guards against a request that is not retried elsewhere although it never ran."""
     call = client.Call(REQUEST, opened.outcomes.append)
@@ -219,25 +262,76 @@
     assert not opened.budget.held_bytes
 
 
-@pytest.mark.parametrize('framing', [b'', b'Content-Length: 3000000\r\n'])
-def test_bodies_of_servers_share_one_budget(opened, framing):
+def deliver_in_turn(opened, part, count):
+    """Deliver a part of a body on each connection that reads, a number of times."""
+    for _ in range(count):
+        for connection in opened.connections:
+            if (
+                connection.transport.producerState == 'producing'
+                and not connection.transport.aborted
+            ):
+                connection.dataReceived(part)
+                assert opened.budget.held_bytes <= BUDGET_BYTES
+
+
+def test_bodies_of_servers_share_one_budget(opened):
     """Guards against bodies that together take the process over its memory."""
     calls = [opened.start(), opened.start()]
-    _, second = opened.connections
+    first, second = opened.connections
     for connection in opened.connections:
-        connection.dataReceived(STATUS_LINE + framing + b'\r\n')
-    for _ in range(40):
-        for connection in opened.connections:
-            if connection.transport.producerState == 'producing':
-                connection.dataReceived(bytes(60_000))
-    assert opened.budget.held_bytes <= BUDGET_BYTES
-    assert second.transport.producerState == 'paused'
+        connection.dataReceived(STATUS_LINE + b'Content-Length: 3000000\r\n\r\n')
+    deliver_in_turn(opened, bytes(60_000), 40)
+    assert (first.transport.producerState, second.transport.producerState) == (
+        'producing',
+        'paused',
+    )
+    assert not opened.outcomes
     calls[0].cancel()
     assert second.transport.producerState == 'producing'
     calls[1].cancel()
     assert not opened.budget.held_bytes
 
 
+CHUNK = b'ea60\r\n' + bytes(60_000) + b'\r\n'
+
+
+@pytest.mark.parametrize(
+    ('framing', 'part'),
+    [(b'', bytes(60_000)), (b'Transfer-Encoding: chunked\r\n', CHUNK)],
+    ids=['until the end of the connection', 'chunked'],
+)
+def test_bodies_without_length_do_not_wait_for_each_other(opened, framing, part):
+    """Guards against bodies without end that wait for each other, and others for both of them."""
+    opened.start()
+    opened.start()
+    for connection in opened.connections:
+        connection.dataReceived(STATUS_LINE + framing + b'\r\n')
+    deliver_in_turn(opened, part, 40)
+    (outcome,) = opened.outcomes
+    assert isinstance(outcome, errors.MalformedError)
+    (rest,) = [each for each in opened.connections if not each.transport.aborted]
+    assert rest.transport.producerState == 'producing'
+    opened.start()
+    opened.connections[2].dataReceived(STATUS_LINE + b'Content-Length: 2000000\r\n\r\n')
+    assert rest.transport.aborted
+    assert opened.connections[2].transport.producerState == 'producing'
+
+
+@pytest.mark.parametrize('size_bytes', [3_599_999, 3_600_000, 3_600_001])
+def test_body_without_length_may_use_all_memory_that_is_free(opened, size_bytes):
+    """Guards against a sound answer that is refused, or waits, although no other one lacks memory."""
+    opened.start()
+    (connection,) = opened.connections
+    connection.dataReceived(STATUS_LINE + b'\r\n')
+    for sent_bytes in range(0, size_bytes, 60_000):
+        if not opened.outcomes:
+            assert connection.transport.producerState == 'producing'
+            connection.dataReceived(bytes(min(60_000, size_bytes - sent_bytes)))
+    connection.connectionLost(failure.Failure(error.ConnectionDone()))
+    (outcome,) = opened.outcomes
+    assert isinstance(outcome, messages.Response) == (size_bytes <= opened.budget.message_max_bytes)
+
+
 def test_announced_body_that_never_fits_is_malformed(opened):
     """Guards against reading a body that cannot be held."""
     opened.start()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -1,4 +1,6 @@
-"""Tests of the HTTP/1.1 server on in-memory transports."""
+"""Tests of the HTTP/1.1 server on in-memory transports, and over sockets where these matter."""
+
+import socket
 
 import pytest
 from twisted.internet import error
@@ -109,6 +111,8 @@
         (b'POST / HTTP/1.1\r\nContent-Length: 500\r\n\r\n' + b'a' * 200, b'413'),
         (b'POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n', b'400'),
         (b'POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n', b'400'),
+        (b'GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\nHost: b\r\n\r\n', b'400'),
+        (b'GET http://a/ HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n', b'400'),
     ],
 )
 def test_unacceptable_requests_are_refused(served, chunk, status):
@@ -118,6 +122,54 @@
     assert not served.exchanges
 
 
+@pytest.mark.parametrize(
+    ('line', 'target', 'host'),
+    [
+        (b'POST http://shop.example/a/b?c=/d&e', b'/a/b?c=/d&e', b'shop.example'),
+        (b'GET HTTP://Shop.example:8080', b'/', b'Shop.example:8080'),
+        (b'GET http://shop.example:?q', b'/?q', b'shop.example'),
+        (b'GET http://[::1]:80/%2F//x/../y', b'/%2F//x/../y', b'[::1]:80'),
+        (b'OPTIONS http://shop.example', b'*', b'shop.example'),
+        (b'OPTIONS http://shop.example/', b'/', b'shop.example'),
+        (b'OPTIONS *', b'*', b'header.example'),
+        (b'GET /http://shop.example/', b'/http://shop.example/', b'header.example'),
+        (b'GET //shop.example/a', b'//shop.example/a', b'header.example'),
+    ],
+)
+@pytest.mark.parametrize('is_split', [True, False])
+def test_target_in_absolute_form_names_the_host(served, line, target, host, is_split):
+    """Guards against a target in absolute form that is taken for a path."""
+    chunk = line + b' HTTP/1.1\r\nHost: header.example\r\nX: 1\r\nContent-Length: 1\r\n\r\na'
+    for part in [chunk[:9], chunk[9:-1], chunk[-1:]] if is_split else [chunk]:
+        served.receive(part)
+    request = served.exchanges[0].request
+    assert (request.target, request.body) == (target, b'a')
+    assert [each for name, each in request.headers if name == b'host'] == [host]
+    assert messages.find_header(request.headers, b'x') == b'1'
+
+
+@pytest.mark.parametrize(
+    'target',
+    [
+        b'ftp://shop.example/',
+        b'http:///a',
+        b'http://user@shop.example/',
+        b'http://shop.example:port/',
+        b'http://shop.example:80:80/',
+        b'http://[::1/',
+        b'http://a%zz/',
+        b'shop.example:80',
+        b'a/b',
+    ],
+)
+def test_malformed_target_is_refused_with_a_reason(served, target):
+    """Guards against targets that are routed by a host that they do not name."""
+    served.receive(b'GET ' + target + b' HTTP/1.1\r\nHost: shop.example\r\n\r\n')
+    assert served.sent.startswith(b'HTTP/1.1 400 ')
+    assert served.sent.partition(b'\r\n\r\n')[2]
+    assert not served.exchanges
+
+
 def test_malformed_request_is_refused_once_behind_pending_ones(served):
     """Guards against further responses that a client takes for those of other requests."""
     served.receive(GET % 1)
@@ -161,6 +213,58 @@
     assert not served.transport.write_closed
 
 
+@pytest.fixture
+def client(loop, served):
+    """Return a client's socket; the site of ``served`` has answered one request on it."""
+
+    async def answer_first():
+        await loop.until(lambda: served.exchanges)
+        served.exchanges[0].respond(OK)
+        await loop.until(lambda: all(channel.writer.is_sent for channel in served.site.channels))
+
+    port = loop.reactor.listenTCP(0, served.site, interface='127.0.0.1')
+    with socket.create_connection(('127.0.0.1', port.getHost().port), 30) as connection:
+        connection.sendall(GET % 1)
+        loop.run(answer_first())
+        assert connection.recv(1000).endswith(OK.body)
+        yield connection
+    served.site.abort()
+    loop.run(loop.wait(0))
+    port.stopListening()
+
+
+def close_idle(served):
+    """Close the idle connections of a site that stops."""
+    served.site.closing = True
+    served.site.close_idle()
+
+
+def close_expired(served):
+    """Close the connections that have been idle for too long."""
+    served.now_ms = 15_100
+    served.site.close_expired()
+
+
+@pytest.mark.parametrize('close', [close_idle, close_expired])
+def test_request_that_has_arrived_is_answered_before_an_idle_connection_closes(
+    loop, served, client, close
+):
+    """Guards against a request that is read and dropped, when the loop is late and then closes."""
+    client.sendall(GET % 2)
+    close(served)
+    loop.run(loop.until(lambda: len(served.exchanges) == 2))
+    served.exchanges[1].respond(OK)
+    loop.run(loop.wait(0))
+    assert client.recv(1000).endswith(OK.body)
+
+
+@pytest.mark.parametrize('close', [close_idle, close_expired])
+def test_client_sees_at_once_that_an_idle_connection_closes(served, client, close):
+    """Guards against requests that are sent between the decision to close and the close."""
+    close(served)
+    assert client.recv(1) == b''
+
+
 def test_closing_site_closes_the_connection_after_a_response(served):
     """Guards against clients that keep their connection to an instance that stops."""
     served.receive(GET % 1)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,8 +1,12 @@
 """Tests of the platform's store client against the stand-in."""
 
+import json
+
 import pytest
 
 from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway import settings
+from rhubarbspar.http1 import memory
 from rhubarbspar.platform import errors
 from rhubarbspar.platform import store
 
@@ -82,6 +86,114 @@
     loop.run(scenario())
 
 
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'[]',
+        b'{',
+        b'[' * 100_000,
+        b'{"at": "1", "items": []}',
+        b'{"at": 1, "items": 1, "events": 1}',
+        b'{"at": 1, "items": [1], "events": [1]}',
+        b'{"at": 1, "items": [{}], "events": [{}]}',
+        b'{"at": 1, "items": [{"key": "a", "revision": 1}], "events": [{"key": "a"}], "key": 1}',
+        b'{"at": 1, "items": [{"key": "a", "revision": 1, "value": "a"}], "events": [[]]}',
+    ],
+)
+def test_answer_of_another_form_raises(loop, kv_store, kv_client, body):
+    """Guards against a process that ends at its start because the store answers something else."""
+    kv_store.body = body
+
+    async def scenario():
+        for call in (
+            lambda: kv_client.read('a'),
+            lambda: kv_client.read_all(''),
+            lambda: kv_client.watch('', 0, 20),
+            lambda: kv_client.grant_lease(1000),
+        ):
+            with pytest.raises(errors.StoreError):
+                await call()
+
+    loop.run(scenario())
+
+
+def test_largest_records_are_read_while_callers_hold_the_memory(loop, kv_store, kv_client, budget):
+    """Guards against an instance that cannot read its configuration under load, or at all."""
+    content = bytes(settings.Bounds().store_content_bytes)
+    kv_store.put('a', content)
+    kv_store.put('b', content)
+    memory.Share(budget).hold(int(budget.limit_bytes))
+
+    async def scenario():
+        records, _ = await kv_client.read_all('')
+        assert [record.content for record in records] == [content, content]
+        changes, _ = await kv_client.watch('', revisions.combine(kv_store.era, 1), 1000)
+        assert changes == records
+
+    loop.run(scenario())
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{"at": 1, "items": [], "events": [], "more": "%b"}' % bytes(5_000_000),
+        b'{"at": 1, "items": [], "events": [], "more": [%b0]}' % (b'0,' * 200_000),
+        b'{"at": 1, "items": [], "events": [], "more": [%b[]]}' % (b'[],' * 200_000),
+    ],
+    ids=['bytes', 'numbers', 'lists'],
+)
+def test_answer_that_takes_too_much_memory_raises(loop, kv_store, kv_client, budget, body):
+    """Guards against holding what a faulty store sends, as text or decoded."""
+    kv_store.body = body
+
+    async def scenario():
+        for call in (lambda: kv_client.read_all(''), lambda: kv_client.watch('', 0, 20)):
+            with pytest.raises(errors.TooLargeError):
+                await call()
+        await loop.until(lambda: not budget.held_bytes)
+
+    loop.run(scenario())
+
+
+@pytest.mark.parametrize('items', [[], [{'key': 'a', 'revision': 1, 'value': ''}]])
+def test_pages_that_do_not_advance_raise(loop, kv_store, kv_client, items):
+    """Guards against a read that never ends and keeps each page."""
+    kv_store.body = json.dumps({'at': 1, 'items': items, 'hasMore': True}).encode()
+
+    async def scenario():
+        with pytest.raises(errors.MalformedAnswerError):
+            await kv_client.read_all('')
+
+    loop.run(scenario())
+
+
+def test_records_beyond_the_limit_raise(loop, kv_store, kv_client, budget):
+    """Guards against pages without end, each of ordinary size, that fill the memory."""
+    content = bytes(settings.Bounds().store_content_bytes)
+    for number in range(int(budget.limit_bytes / len(content))):
+        kv_store.put(f'k{number}', content)
+
+    async def scenario():
+        with pytest.raises(errors.TooLargeError):
+            await kv_client.read_all('')
+
+    loop.run(scenario())
+
+
+@pytest.mark.parametrize('era', [b'x', b'-1', b'9' * 5000])
+def test_malformed_era_of_the_store_raises(loop, kv_store, kv_client, era):
+    """Guards against a process that ends because of a header of the store."""
+    kv_store.body = b'{}'
+    kv_store.headers = ((b'store-era', era),)
+
+    async def scenario():
+        with pytest.raises(errors.StoreError):
+            await kv_client.grant_lease(1000)
+
+    loop.run(scenario())
+
+
 def test_call_to_a_silent_store_times_out(loop, kv_store, kv_client, monkeypatch):
     """Guards against waiting forever on a connection that no longer carries traffic."""
     monkeypatch.setattr(store, 'CALL_TIMEOUT_MS', 50)
