--- a/tests/soak/site_callers.py
+++ b/tests/soak/site_callers.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import math
+import random
 
 from twisted.internet import defer
 
@@ -284,7 +285,7 @@
 
     def _make_caller(self, domain, number, keys):
         name = f'{domain}-{number}'
-        seeded = type(self._rng)(self._rng.random())
+        seeded = random.Random(self._rng.random())
         return Caller(self._world, domain, seeded, name, self._rng.choice(keys))
 
 
--- a/tests/soak/site_events.py
+++ b/tests/soak/site_events.py
@@ -7,6 +7,17 @@
 
 REUSE_S = 2.0
 _STORE_DELAY_S = 0.004
+# What a server does without an event.
+_USUAL = {
+    'answers_lost': 0.0,
+    'endless': '',
+    'failed': 0.0,
+    'garbled': 0.0,
+    'garbled_how': '',
+    'lost_how': '',
+    'refused': 0.0,
+    'slow_factor': 1.0,
+}
 _VARIANTS = {'body': 'endless_body', 'head': 'endless_head', 'trailers': 'endless_trailers'}
 
 
@@ -217,9 +228,7 @@
 
     def _set(self, event, **fields):
         for each in self._some(self._servers(service_id=event.where), event.share):
-            usual = {name: type(shown)() for name, shown in fields.items()}
-            if 'slow_factor' in fields:
-                usual['slow_factor'] = 1.0
+            usual = {name: _USUAL[name] for name in fields}
             vars(each).update(fields)
             self._world.later(event.duration_s, vars(each).update, usual)
 
