Keep the order of bytes when a link of the soak recovers

The proxy passed bytes on at once that followed delayed ones, and dropped delayed ones at a clean end.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,5 +1,6 @@
 """Loopback proxy whose links can be delayed, reset, silenced or cut in one direction."""
 
+import collections
 import enum
 import os
 
@@ -69,6 +70,7 @@
         self._link = link
         self._direction = direction
         self._waiting = []
+        self._delayed = collections.deque()
         self._lost = False
         self.other = None
 
@@ -88,6 +90,8 @@
             return
         if reason.check(error.ConnectionDone):
             # What was passed on before the end is still delivered.
+            while self._delayed:
+                self._pass_delayed()
             self.other.transport.loseConnection()
         else:
             self.other.transport.abortConnection()
@@ -98,8 +102,11 @@
             return
         if self.other is None:
             self._waiting.append(chunk)
-        elif self._link.mode == Mode.DELAYED:
-            self._link.reactor.callLater(DELAY_S, self._pass_on, chunk)
+        elif self._link.mode == Mode.DELAYED or self._delayed:
+            # Bytes never overtake others that were delayed before the link recovered.
+            self._delayed.append(chunk)
+            delay_s = DELAY_S if self._link.mode == Mode.DELAYED else 0
+            self._link.reactor.callLater(delay_s, self._pass_delayed)
         else:
             self._pass_on(chunk)
 
@@ -109,6 +116,10 @@
         for chunk in self._waiting:
             self._pass_on(chunk)
 
+    def _pass_delayed(self):
+        if self._delayed:
+            self._pass_on(self._delayed.popleft())
+
     def _pass_on(self, chunk):
         if self.other.transport is not None and self.other.transport.connected:
             self.other.transport.write(chunk)
