--- a/tests/soak/site_deployment.py
+++ b/tests/soak/site_deployment.py
@@ -21,6 +21,7 @@
 FACTOR = 0.25
 READY_S = 10.0
 START_MAX_S = 60.0
+LAG_MAX_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -180,10 +181,18 @@
                 for member in self.fleet.members:
                     defer.ensureDeferred(self._ask(asker, member))
                     self._check_memory(member)
+                began_s = self.clock_s()
                 await self.sleep(models.USAGE_INTERVAL_S)
+                self._note_lag(began_s)
         except defer.CancelledError:
             return
 
+    def _note_lag(self, began_s):
+        """Note that the store was slow: it answers from this process, which was late itself."""
+        now_s = self.clock_s()
+        if now_s - began_s > models.USAGE_INTERVAL_S + LAG_MAX_S:
+            self.ledger.disturbed.append(models.Trouble(began_s, now_s, is_core=True))
+
     def _check_memory(self, member):
         """Note what an instance holds; the platform kills one that exceeds the memory of its machine."""
         for usage in member.usage():
