--- a/tests/soak/models.py
+++ b/tests/soak/models.py
@@ -202,6 +202,8 @@
         Rate and burst of each account, by configuration.
     notes
         Broken promises that were seen at once.
+    late_count
+        Seconds in which the soak itself was late.
     """
 
     sent: dict[str, Sent] = dataclasses.field(default_factory=dict)
@@ -218,6 +220,7 @@
     quotas: list[list[tuple[float, float]]] = dataclasses.field(default_factory=list)
     usages: list[Usage] = dataclasses.field(default_factory=list)
     notes: list[str] = dataclasses.field(default_factory=list)
+    late_count: int = 0
     exits: list[Exit] = dataclasses.field(default_factory=list)
 
     def waited_s(self, instance: int, since_s: float, until_s: float) -> float:
--- a/tests/soak/site_checks.py
+++ b/tests/soak/site_checks.py
@@ -59,7 +59,10 @@
     most_mb = max((usage.memory_mb for usage in ledger.usages), default=0)
     most = max((usage.descriptors for usage in ledger.usages), default=0)
     ended = ', '.join(f'{count} {end}' for end, count in ends.most_common())
-    return f'{len(ledger.sent)} requests ({ended}), {most_mb:.0f} MB, {most} descriptors'
+    return (
+        f'{len(ledger.sent)} requests ({ended}), {most_mb:.0f} MB, {most} descriptors, '
+        f'late in {ledger.late_count} s'
+    )
 
 
 def _lost(ledger, runs):
--- a/tests/soak/site_deployment.py
+++ b/tests/soak/site_deployment.py
@@ -192,6 +192,7 @@
         now_s = self.clock_s()
         if now_s - began_s > models.USAGE_INTERVAL_S + LAG_MAX_S:
             self.ledger.disturbed.append(models.Trouble(began_s, now_s, is_core=True))
+            self.ledger.late_count += 1
 
     def _check_memory(self, member):
         """Note what an instance holds; the platform kills one that exceeds the memory of its machine."""
