--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -86,7 +86,11 @@
             yield f'FAULT: instance {end.instance} ended by itself with {end.code}'
         elif end.code and ledger.is_calm(end.stopped_s, end.ended_s, end.instance):
             took_s = end.ended_s - end.stopped_s
-            yield f'FAULT: instance {end.instance} ended with {end.code} after {took_s:.1f} s'
+            age_s = end.stopped_s - end.started_s
+            yield (
+                f'FAULT: instance {end.instance} ended with {end.code} after {took_s:.1f} s, '
+                f'stopped {age_s:.2f} s after its start'
+            )
 
 
 def _of_recovery(ledger, ended_s):
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -179,7 +179,7 @@
             return
         killed = code == -signal.SIGKILL and self._stopped_s is None
         if not (killed or self._closing):
-            ended = models.Exit(self.number, code, self._stopped_s, self._clock_s())
+            ended = models.Exit(self.number, code, self._stopped_s, self._clock_s(), self.started_s)
             self._ledger.exits.append(ended)
         self._reactor.callLater(RESTART_S, self.start)
 
--- a/tests/soak/models.py
+++ b/tests/soak/models.py
@@ -174,12 +174,15 @@
     ----------
     stopped_s
         When its planned stop began; ``None`` if it ended by itself.
+    started_s
+        When it was started.
     """
 
     instance: int
     code: int
     stopped_s: float | None
     ended_s: float
+    started_s: float = 0.0
 
 
 @dataclasses.dataclass
