--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -2,8 +2,6 @@
 
 import json
 
-from twisted.internet import task
-
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import server
 from tests.soak import models
@@ -13,8 +11,12 @@
 QUEUE = 12
 WORK_S = 0.03
 SLOW_S = 0.6
-ENDLESS_INTERVAL_S = 0.002
+ENDLESS_LINE_BYTES = 40_000
 _LIMITS = server.Limits(16_384, 1_048_576, 3000, 15_000)
+_HEAD_ENDS = {
+    'endless_body': b'\r\n',
+    'endless_trailers': b'transfer-encoding: chunked\r\n\r\n0\r\n',
+}
 
 
 class Backend:
@@ -44,19 +46,30 @@
         self.work_s = WORK_S
         self._running = 0
         self._sequence = 0
-        self._site = server.Site(self._receive, lambda: _LIMITS, lambda: 0.0)
-        self._listener = self._reactor.listenTCP(0, self._site, interface='127.0.0.1')
+        self._site = self.make_site()
+        self._listener = self._reactor.listenTCP(0, self._site, interface=proxy.HOST)
         if self.link is None:
-            self.link = proxy.Link(self._reactor, '127.0.0.1', 0)
-        self.link.target = ('127.0.0.1', self._listener.getHost().port)
+            self.link = proxy.Link(self._reactor, proxy.HOST, 0)
+        self.link.target = (proxy.HOST, self._listener.getHost().port)
         self.register('ready')
 
+    def make_site(self):
+        """Return the factory of the connections."""
+        return server.Site(self._receive, lambda: _LIMITS, lambda: 0.0)
+
     def register(self, state):
         """Write the registration."""
         self._sequence += 1
-        entry = {
+        content = json.dumps(self.entry(state)).encode()
+        self._store.put(f'servers/{self.server_id}', content)
+        if state == 'draining':
+            self._ledger.draining_s[self.server_id] = self._clock_s()
+
+    def entry(self, state):
+        """Return the registration in a state."""
+        return {
             'service': self._service_id,
-            'address': f'127.0.0.1:{self.link.port}',
+            'address': f'{proxy.HOST}:{self.link.port}',
             'zone': self._domain,
             'version': 'v1',
             'slots': SLOTS,
@@ -64,9 +77,6 @@
             'seqNo': self._sequence,
             'born': 1_700_000_000_000 + self._incarnation,
         }
-        self._store.put(f'servers/{self.server_id}', json.dumps(entry).encode())
-        if state == 'draining':
-            self._ledger.draining_s[self.server_id] = self._clock_s()
 
     def crash(self):
         """End at once; the registration lapses later."""
@@ -83,8 +93,8 @@
 
     def _receive(self, exchange):
         headers = exchange.request.headers
-        attempt_id = _text(headers, b'x-rhubarbspar-attempt-id')
-        if _text(headers, b'x-rhubarbspar-target-instance') != self.server_id:
+        attempt_id = text_of(headers, b'x-rhubarbspar-attempt-id')
+        if text_of(headers, b'x-rhubarbspar-target-instance') != self.server_id:
             exchange.respond(messages.Response(421))
             return
         if self._running >= SLOTS + QUEUE:
@@ -96,7 +106,7 @@
                 attempt_id,
                 self.server_id,
                 self._clock_s(),
-                _text(headers, b'x-rhubarbspar-tenant'),
+                text_of(headers, b'x-rhubarbspar-tenant'),
                 messages.find_header(headers, b'authorization') is not None,
             )
         )
@@ -111,10 +121,8 @@
         """Send a head or a body until the caller closes the connection."""
         transport = exchange._channel.transport
         head = f'HTTP/1.1 200 OK\r\nx-rhubarbspar-attempt-id: {attempt_id}\r\n'
-        transport.write(head.encode() + (b'\r\n' if self.endless == 'endless_body' else b''))
-        loop = task.LoopingCall(transport.write, b'x: ' + b'y' * 40_000 + b'\r\n')
-        exchange.on_abandoned = loop.stop
-        loop.start(ENDLESS_INTERVAL_S)
+        transport.write(head.encode() + _HEAD_ENDS.get(self.endless, b''))
+        transport.registerProducer(_EndlessWriter(transport), streaming=False)
 
     def _respond(self, exchange, attempt_id):
         self._running -= 1
@@ -126,6 +134,21 @@
         exchange.respond(messages.Response(200, headers, f'answer to {attempt_id}'.encode()))
 
 
-def _text(headers, name):
+class _EndlessWriter:
+    """Sends header lines, as fast as the caller reads them, until the connection closes."""
+
+    def __init__(self, transport):
+        self._transport = transport
+
+    def resumeProducing(self):  # noqa: N802
+        """Send the next line."""
+        self._transport.write(b'x: ' + b'y' * ENDLESS_LINE_BYTES + b'\r\n')
+
+    def stopProducing(self):  # noqa: N802
+        """End with the connection."""
+
+
+def text_of(headers, name):
+    """Return a header as text, ``None`` without it."""
     found = messages.find_header(headers, name)
     return None if found is None else found.decode()
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,8 @@
 """Loopback proxy whose links can be delayed, reset, silenced or cut in one direction."""
 
+import collections
 import enum
+import os
 
 from twisted.internet import error
 from twisted.internet import protocol
@@ -13,10 +15,13 @@
     DROPS_ANSWERS = 'drops_answers'
     DROPS_REQUESTS = 'drops_requests'
     PASSES = 'passes'
+    RESETS = 'resets'
     SILENT = 'silent'
 
 
 DELAY_S = 0.12
+# The soak listens where no other process connects to: a port of a server that has ended may be given to another.
+HOST = f'127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.2'
 _DROPPED = {
     Mode.DROPS_ANSWERS: frozenset(('answers',)),
     Mode.DROPS_REQUESTS: frozenset(('requests',)),
@@ -38,7 +43,9 @@
         self.mode = Mode.PASSES
         self.target = (host, port)
         self.sides = set()
-        self._listener = reactor.listenTCP(0, self, interface='127.0.0.1')
+        # Local ports of callers whose connections the address behind has refused.
+        self.refused = set()
+        self._listener = reactor.listenTCP(0, self, interface=HOST)
         self.port = self._listener.getHost().port
 
     def buildProtocol(self, addr):
@@ -63,6 +70,7 @@
         self._link = link
         self._direction = direction
         self._waiting = []
+        self._delayed = collections.deque()
         self._lost = False
         self.other = None
 
@@ -70,6 +78,9 @@
         self._link.sides.add(self)
         if self._direction == 'answers':
             return
+        if self._link.mode == Mode.RESETS:
+            self.transport.abortConnection()
+            return
         creator = _Creator(self._link, self)
         self._link.reactor.connectTCP(*self._link.target, creator, timeout=5)
 
@@ -79,6 +90,8 @@
             return
         if reason.check(error.ConnectionDone):
             # What was passed on before the end is still delivered.
+            while self._delayed:
+                self._pass_delayed()
             self.other.transport.loseConnection()
         else:
             self.other.transport.abortConnection()
@@ -89,8 +102,11 @@
             return
         if self.other is None:
             self._waiting.append(chunk)
-        elif self._link.mode == Mode.DELAYED:
-            self._link.reactor.callLater(DELAY_S, self._pass_on, chunk)
+        elif self._link.mode == Mode.DELAYED or self._delayed:
+            # Bytes never overtake others that were delayed before the link recovered.
+            self._delayed.append(chunk)
+            delay_s = DELAY_S if self._link.mode == Mode.DELAYED else 0
+            self._link.reactor.callLater(delay_s, self._pass_delayed)
         else:
             self._pass_on(chunk)
 
@@ -100,6 +116,10 @@
         for chunk in self._waiting:
             self._pass_on(chunk)
 
+    def _pass_delayed(self):
+        if self._delayed:
+            self._pass_on(self._delayed.popleft())
+
     def _pass_on(self, chunk):
         if self.other.transport is not None and self.other.transport.connected:
             self.other.transport.write(chunk)
@@ -120,4 +140,5 @@
 
     def clientConnectionFailed(self, connector, reason):
         if self._near.transport is not None:
+            self._link.refused.add(self._near.transport.getPeer().port)
             self._near.transport.abortConnection()
