Lose no answer where a connection gives way to another one

Cause: with 60 callers that pause, 15 of 316 requests beside silent connections got 503, since only 16 idle connections were looked at and all had requests that had just arrived. 16 of 631 requests beside half ones got nothing: a surplus connection gave way before its refusal was sent. A new connection that gave way before its request came ended without a word.

Change: an idle connection with a request leaves the order of those that may close, so that the next one is found. A connection with unsent bytes stays. One that has never had a request gets the refusal before it closes. Servers have as large a part as callers, since each request of a caller takes a connection to a server.

--- a/rhubarbspar/gateway/descriptor_limits.py
+++ b/rhubarbspar/gateway/descriptor_limits.py
@@ -18,7 +18,8 @@
 _SURPLUS_SHARE: typing.Final = 0.125
 
 
-# Shares of the sockets, and the least numbers of them. Callers have the rest. The connections to peers
+# Shares of the sockets, and the least numbers of them. Callers have the rest. Servers have as many as
+# callers, since each request of a caller takes a connection to a server. The connections to peers
 # that have proved their identity are as many as the fleet needs; their share is only kept free.
 _SHARES: typing.Final = types.MappingProxyType(
     {
@@ -28,7 +29,7 @@
         'metrics': 0.01,
         'peers': 0.06,
         'readiness': 0.01,
-        'servers': 0.25,
+        'servers': 0.35,
         'store': 0.02,
     }
 )
--- a/rhubarbspar/http1/descriptors.py
+++ b/rhubarbspar/http1/descriptors.py
@@ -6,13 +6,9 @@
 
 import collections
 import dataclasses
-import itertools
 import math
 import typing
 
-# Connections that are tried when one is to be closed; those with a request just arrived stay open.
-_TRIES_MAX: typing.Final = 16
-
 
 class Connection(typing.Protocol):
     """A connection that may be closed while it is idle."""
@@ -105,11 +101,13 @@
 
     def _evict(self, idle_since_max_ms: float) -> bool:
         """Close the connection that has been idle longest; return whether there was one."""
-        longest_idle = tuple(itertools.islice(self._idle.items(), _TRIES_MAX))
-        for connection, since_ms in longest_idle:
+        while self._idle:
+            connection, since_ms = next(iter(self._idle.items()))
             if since_ms > idle_since_max_ms:
                 return False
             if connection.evict():
                 self.evicted_count += 1
                 return True
+            # It is marked again once it has read what has arrived.
+            self.mark_busy(connection)
         return False
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -122,7 +122,7 @@
         self._refuse_surplus = refuse_surplus or _refuse_surplus
         # What a connection gets that closes before its request is read. A response that depends on
         # the request cannot be given then.
-        self._last_word = b'' if refuse_surplus else _REFUSAL_BYTES
+        self._final_bytes = b'' if refuse_surplus else _REFUSAL_BYTES
         self.channels: set[Channel] = set()
         self.closing = False
         self.on_refusal: abc.Callable[[int], None] | None = None
@@ -155,7 +155,7 @@
 
     def close_unread(self, transport: typing.Any) -> None:
         """Close a connection of which no request is read, with a refusal if it is always the same."""
-        transports.close(transport, self._last_word)
+        transports.close(transport, self._final_bytes)
 
     @property
     def unsent_count(self) -> int:
@@ -201,6 +201,7 @@
         self._site = site
         self._connections = connections
         self._is_surplus = connections is site.connections.surplus
+        self._has_served = False
         self._parser = request_parser.RequestParser(self, site.budget, site.clock_ms)
         self._pending: collections.deque[Exchange] = collections.deque()
         self._last_active_ms = site.clock_ms()
@@ -229,12 +230,13 @@
 
     def evict(self) -> bool:
         """Close the idle connection at once, unless a request of the client has arrived."""
-        if not self.closing and transports.has_unread(self.transport):
+        has_unread = not self.closing and transports.has_unread(self.transport)
+        if has_unread or not self.writer.is_sent:
             return False
-        if self._is_surplus and not self.closing:
-            self._site.close_unread(self.transport)
-        else:
+        if self._has_served or self.closing:
             transports.close(self.transport)
+        else:
+            self._site.close_unread(self.transport)
         return True
 
     def readConnectionLost(self) -> None:  # noqa: N802
@@ -307,6 +309,7 @@
             return
         exchange = Exchange(self, request, share, keep_alive=self._parser.should_keep_alive())
         self._pending.append(exchange)
+        self._has_served = True
         self._update_idle()
         self._update_reading()
         refusal = self._site.refuse_by_head(request, is_surplus=self._is_surplus)
@@ -400,8 +403,7 @@
             transport: typing.Any = self.transport
             transport.loseWriteConnection()
             transport.reactor.callLater(const.LINGER_S, transport.loseConnection)
-        else:
-            self._update_idle()
+        self._update_idle()
 
 
 class _Refusal(protocol.Protocol):
--- a/rhubarbspar/http1/transports.py
+++ b/rhubarbspar/http1/transports.py
@@ -28,19 +28,19 @@
         return False
 
 
-def close(transport: typing.Any, last_word: bytes = b'') -> None:
+def close(transport: typing.Any, final_bytes: bytes = b'') -> None:
     """Close a connection on which nothing is unsent, and its descriptor, at once.
 
     The methods of the transport leave the descriptor open until the reactor's next round.
 
     Parameters
     ----------
-    last_word
+    final_bytes
         What the peer still gets, if it fits into the buffer of the system.
     """
-    if last_word:
+    if final_bytes:
         with contextlib.suppress(OSError):
-            transport.socket.send(last_word)
+            transport.socket.send(final_bytes)
             # Closing with unread bytes resets the connection.
             transport.socket.recv(_DRAINED_BYTES)
     transport.connectionLost(failure.Failure(error.ConnectionDone()))
--- a/tests/http1/test_descriptors.py
+++ b/tests/http1/test_descriptors.py
@@ -35,11 +35,26 @@
     served.now_ms += LATER_MS
     served.connect()
     assert (served.transport.disconnected, idle.disconnected, younger.disconnected) == (0, 0, 1)
+    # A request that crosses the close of a new connection gets an answer.
+    assert younger.value().startswith(b'HTTP/1.1 503 ')
     served.connect()
     assert (served.transport.disconnected, idle.disconnected) == (0, 1)
+    assert idle.value().count(b'HTTP/1.1') == 1
     assert served.site.connections.open_count == 3
 
 
+def test_idle_connection_is_found_behind_those_whose_requests_have_arrived():
+    """Guards against refusals while many idle connections are used again at the same time."""
+    served = serve(40)
+    others = [served.connect() for _ in range(39)]
+    for _, transport in others[:-1]:
+        transport.unread = GET
+    served.transport.unread = GET
+    served.now_ms += LATER_MS
+    served.connect()
+    assert [transport.disconnected for _, transport in others] == [False] * 38 + [True]
+
+
 @pytest.mark.parametrize('reason', ['pending', 'unsent', 'unread', 'just opened', 'half'])
 def test_connection_that_may_carry_a_request_stays_open(reason):
     """Guards against requests that are lost when their connection closes for another one."""
@@ -87,6 +102,23 @@
     assert newer.value().startswith(b'HTTP/1.1 503 ')
 
 
+def test_surplus_connection_gives_way_only_after_its_refusal_is_sent():
+    """Guards against refusals that are lost because their connection closes too early."""
+    served = serve(1)
+    served.receive(GET)
+    first, transport = served.connect()
+    transport.stalled = True
+    first.dataReceived(GET)
+    served.now_ms += LATER_MS
+    served.connect()
+    assert not transport.disconnected
+    transport.stalled = False
+    transport.drain()
+    served.now_ms += LATER_MS
+    served.connect()
+    assert transport.disconnected
+
+
 def test_silent_surplus_connection_is_closed():
     """Guards against descriptors that connections hold which only wait for a refusal."""
     served = serve(1)
