--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -234,7 +234,7 @@
                 'directory': addresses['directory'],
             },
             'internalPorts': [self.ports['peer'], self.ports['forward']],
-            'limits': {'memoryMb': MEMORY_MB},
+            'limits': {'maxFds': DESCRIPTORS_MAX, 'memoryMb': MEMORY_MB},
             'provider': {'address': f'{proxy.HOST}:{self.store_link.port}'},
             'bounds': BOUNDS,
         }
