Follow settings that change while a gateway starts

The settings were read first, the text that later checks compare with only when the daemon was built; a change in between, whose SIGHUP is ignored, was taken for the present text and never followed.

The new test fails without the change (the stop grace stays at 5 s).

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -128,6 +128,7 @@
 
     def start(self) -> None:
         """Open the listeners and start the tasks; to be called while the reactor runs."""
+        self._load_changed_settings()
         tick_interval_s = package_const.TICK_INTERVAL_MS / package_const.MS_PER_S
         self._supervisor.repeat('tick', tick_interval_s, self._tick)
         self._supervisor.repeat('sweep', _SWEEP_INTERVAL_S, self._sweep)
@@ -166,6 +167,18 @@
         self._driver.report(core_effects.Log('settings_loaded'))
         self._report_defaults()
 
+    def _load_changed_settings(self) -> None:
+        """Reload settings that have changed since they were first read.
+
+        Until the daemon handles it, the signal for that is ignored.
+        """
+        try:
+            present = self._settings_watch.load()
+        except exceptions.RhubarbsparError:
+            return
+        if present != self._settings:
+            self.reload()
+
     def _report_refusal(self, status: int) -> None:
         """Log and count a request that was refused before it was complete."""
         fields = (
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -269,6 +269,19 @@
     assert deployment.gateway._state.bounds.stop_grace_ms == 4000
 
 
+def test_settings_that_change_while_a_gateway_starts_are_followed(loop, tmp_path):
+    """Guards against bounds of before that stay in force: SIGHUP is ignored until then."""
+    path = tmp_path / 'settings.jsonc'
+    text = test_settings.fill_template(test_settings.VALUES)
+    path.write_text(text)
+    loaded = settings.load(path)
+    path.write_text(text.replace('"5s"', '"4s"'))
+    daemon = gateway_daemon.Daemon(str(path), loaded, loop.reactor)
+    daemon.start()
+    assert daemon._state.bounds.stop_grace_ms == 4000
+    daemon.close()
+
+
 def test_settings_that_go_away_while_a_gateway_starts_are_no_fault(loop, tmp_path):
     """Guards against a process that ends because its settings are away for a moment."""
     path = tmp_path / 'settings.jsonc'
