Ask the socket whether connections wait at a port that closes

At the end of a planned stop, the waiting connections were accepted until the number of open ones stayed the same. At the limit of connections it can stay the same while others wait. Now the socket itself is asked.

Found by reading. The new case of a limit that is reached passes without the change too, so the fault was not shown.

--- a/rhubarbspar/gateway/listeners.py
+++ b/rhubarbspar/gateway/listeners.py
@@ -18,6 +18,7 @@
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import server
+from rhubarbspar.http1 import transports
 from rhubarbspar.platform import directory as platform_directory
 from rhubarbspar.server import metrics
 
@@ -120,10 +121,9 @@
         if port is None:
             return
         for _ in range(BACKLOG):
-            count = len(self.caller_site.channels)
-            port.doRead()
-            if count == len(self.caller_site.channels):
+            if not transports.has_waiting_connection(port):
                 break
+            port.doRead()
         port.stopListening()
 
     def close(self) -> None:
--- a/rhubarbspar/http1/transports.py
+++ b/rhubarbspar/http1/transports.py
@@ -1,6 +1,7 @@
 """Options of TCP transports."""
 
 import contextlib
+import select
 import socket
 import typing
 
@@ -32,6 +33,13 @@
     return True
 
 
+def has_waiting_connection(port: typing.Any) -> bool:
+    """Return whether a connection waits for its acceptance at a listening port."""
+    poll = select.poll()
+    poll.register(port.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def has_unread(transport: typing.Any) -> bool:
     """Return whether the peer has sent bytes that are not read yet."""
     try:
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -79,20 +79,32 @@
     deployment.loop.run(scenario())
 
 
-def test_connections_that_wait_for_their_acceptance_are_served_when_a_port_closes(deployment):
-    """Guards against requests on new connections that are reset at the end of a planned stop."""
+@pytest.mark.parametrize(
+    ('limit', 'statuses'), [(1000, (b'HTTP/1.1 404',)), (2, (b'HTTP/1.1 404', b'HTTP/1.1 503'))]
+)
+def test_connections_that_wait_for_their_acceptance_are_served_when_a_port_closes(
+    deployment, limit, statuses
+):
+    """Guards against requests on new connections that are reset at the end of a planned stop.
+
+    Beyond the limit of connections, they are refused.
+    """
     deployment.loop.run(deployment.until_ready())
+    deployment.gateway._limits.callers.limit = limit
+    deployment.gateway._limits.callers.surplus.limit = limit
     host, _, port = deployment.addresses['front'].rpartition(':')
     clients = [socket.create_connection((host, int(port)), 30) for _ in range(20)]
     for client in clients:
         client.sendall(b'GET /none/ HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\r\n')
     listeners = deployment.gateway._listeners
+    # As after a time with few new connections.
+    listeners._ports[deployment.addresses['front']].numberAccepts = 1
     listeners.stop_accepting()
     deployment.loop.run(
         deployment.loop.until(lambda: not any(map(is_open, listeners.caller_site.channels)))
     )
     for client in clients:
-        assert client.recv(1000).startswith(b'HTTP/1.1 4')
+        assert client.recv(1000).startswith(statuses)
         client.close()
 
 
