Read no more of a client that takes its responses slowly

A client that pipelined deeply and read slowly lost the requests behind 32 unsent responses of more than 64 KiB: its connection ended after these, though memory was free and the client went on reading.

Reading pauses at that point now and goes on when the responses are sent. Only requests that were read in the same chunk beyond it are still dropped.

The new test fails without the change; tests/http1 passes (167).

--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -304,7 +304,8 @@
         """Pass a request to the site; stop reading at ``PIPELINE_MAX`` pending requests.
 
         A request behind the last one that is answered is dropped: the client sends it again. So
-        are those of a client that does not take the responses to many earlier ones.
+        are those that were read together with many earlier ones whose responses the client does
+        not take.
         """
         if self._reading.is_ending or self.writer.is_backlogged:
             share.release()
@@ -351,7 +352,8 @@
         """Pause or resume reading, as the pending requests and the memory permit."""
         reading = self._reading
         is_full = len(self._pending) >= const.PIPELINE_MAX
-        must_pause = reading.waits_for_memory or reading.is_ending or is_full
+        is_slow = self.writer.is_backlogged
+        must_pause = reading.waits_for_memory or reading.is_ending or is_full or is_slow
         if not self.closing:
             self._reading.switch(self.transport, is_paused=must_pause)
 
@@ -402,13 +404,15 @@
             self._note_sent()
 
     def _note_sent(self) -> None:
-        """Close the write side if the connection is to close."""
+        """Close the write side if the connection is to close; otherwise read on."""
         if self._reading.is_ending and not (self._pending or self.closing):
             self._close()
         elif self.closing:
             transport: typing.Any = self.transport
             transport.loseWriteConnection()
             transport.reactor.callLater(const.LINGER_S, transport.loseConnection)
+        else:
+            self._update_reading()
         self._update_idle()
 
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -58,6 +58,22 @@
     assert served.sent.count(b'HTTP/1.1 200') >= const.PIPELINE_MAX
 
 
+def test_client_that_takes_its_responses_slowly_gets_all_of_them(served):
+    """Guards against pipelined requests that are dropped although the client reads on."""
+    served.site.handle = lambda exchange: exchange.respond(messages.Response(200, body=bytes(9000)))
+    served.transport.stalled = True
+    count = 0
+    while served.transport.producerState == 'producing' and count < 2 * const.PIPELINE_MAX:
+        served.receive(GET % count)
+        count += 1
+    served.transport.stalled = False
+    served.transport.drain()
+    assert served.transport.producerState == 'producing'
+    served.receive(GET % count)
+    assert served.sent.count(b'HTTP/1.1 200') == count + 1
+    assert not served.transport.write_closed
+
+
 @pytest.mark.parametrize('reason', ['site', 'response'])
 def test_requests_that_were_read_are_answered_before_the_connection_closes(served, reason):
     """Guards against requests at work at servers that get no answer in a planned stop."""
