Read what has arrived before a connection is closed for another one

A refused connection that still lingered was closed with unread bytes when connections beyond the limit came fast; the reset could take the 503 with it.

Also names: the results after which a retry is free, and the counts of evictions and refusals; both had a name that means something else nearby.

Found by reading; the tests of http1, descriptors and dispatch pass (227).

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -193,10 +193,10 @@
     def _report_connections(self) -> None:
         """Log the kinds of connections whose limit was reached since the last call."""
         for part in self._limits.parts:
-            turned_away = part.take_turned_away()
-            if turned_away is not None:
+            counts = part.take_new_counts()
+            if counts is not None:
                 fields = (('kind', part.kind), ('open', part.open_count), ('limit', part.limit))
-                self._driver.report(core_effects.Log('connections_full', (*fields, *turned_away)))
+                self._driver.report(core_effects.Log('connections_full', (*fields, *counts)))
 
     def _report_defaults(self) -> None:
         """Log the bounds that the settings do not give."""
--- a/rhubarbspar/gateway/retries.py
+++ b/rhubarbspar/gateway/retries.py
@@ -21,8 +21,8 @@
 STOP_TIME_FACTOR: typing.Final = 2.0
 STOP_TIME_FACTOR_IDEMPOTENT: typing.Final = 1.2
 
-# Results after which nothing was sent to a server.
-_NOT_SENT: typing.Final = frozenset(
+# Results after which nothing was sent to a server, which another one may get instead.
+_UNSENT_RESULTS: typing.Final = frozenset(
     (events.AttemptResult.NOT_FORWARDED, events.AttemptResult.UNREACHABLE)
 )
 
@@ -57,7 +57,7 @@
         state, route
     ):
         return False
-    if result in _NOT_SENT:
+    if result in _UNSENT_RESULTS:
         # The retry costs no retry budget.
         return True
     size = state.fleet.size(now_ms)
--- a/rhubarbspar/http1/descriptors.py
+++ b/rhubarbspar/http1/descriptors.py
@@ -89,7 +89,7 @@
         """Note that a connection must not be closed."""
         self._idle.pop(connection, None)
 
-    def take_turned_away(self) -> tuple[tuple[str, int], ...] | None:
+    def take_new_counts(self) -> tuple[tuple[str, int], ...] | None:
         """Return the numbers of connections evicted and refused since the last call, if any."""
         evicted = self.evicted_count - self._reported_evicted
         refused = self.refused_count - self._reported_refused
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -511,7 +511,8 @@
 def _end_writing(channel: Channel) -> bool:
     """Close the write side of an idle connection, unless a request has arrived that is not read.
 
-    Return false in that case. A request that arrives later finds the write side closed.
+    Return false in that case. A request that arrives later finds the write side closed. A connection
+    that still sends closes its write side when all is sent.
     """
     return not channel.writer.is_sent or transports.end_writing(channel.transport)
 
--- a/rhubarbspar/http1/transports.py
+++ b/rhubarbspar/http1/transports.py
@@ -58,9 +58,9 @@
     final_bytes
         What the peer still gets, if it fits into the buffer of the system.
     """
-    if final_bytes:
-        with contextlib.suppress(OSError):
+    with contextlib.suppress(OSError):
+        if final_bytes:
             transport.socket.send(final_bytes)
-            # Closing with unread bytes resets the connection.
-            transport.socket.recv(_DRAINED_BYTES)
+        # Closing with unread bytes resets the connection, which can lose what was sent before.
+        transport.socket.recv(_DRAINED_BYTES)
     transport.connectionLost(failure.Failure(error.ConnectionDone()))
--- a/tests/http1/test_descriptors.py
+++ b/tests/http1/test_descriptors.py
@@ -133,10 +133,10 @@
 def test_reports_count_what_is_new():
     """Guards against log lines that repeat old evictions."""
     limited = descriptors.ConnectionLimit('servers', 0)
-    assert limited.take_turned_away() is None
+    assert limited.take_new_counts() is None
     assert not limited.acquire()
-    assert limited.take_turned_away() == (('evicted', 0), ('refused', 1))
-    assert limited.take_turned_away() is None
+    assert limited.take_new_counts() == (('evicted', 0), ('refused', 1))
+    assert limited.take_new_counts() is None
 
 
 RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
