Complete no rollout on results that are mostly poor

Cause: a version that gets all requests by the schedule could complete with a single result in time, since a service with few requests may give few results. Now most of its results have to be in time while there are fewer than ten.

The two cases of the new test fail without the change; the tests of rollouts pass.

--- a/rhubarbspar/gateway/rollout_schedule.py
+++ b/rhubarbspar/gateway/rollout_schedule.py
@@ -88,6 +88,16 @@
     return min(scheduled, unproven)
 
 
+def may_complete(candidate: canary_analysis.ResultCounts) -> bool:
+    """Return whether a version that gets all requests may replace the old one.
+
+    A service with few requests may give few results. Of a version with fewer than ``SAMPLES_MIN``
+    results in time, most results have to be so.
+    """
+    others = candidate.bad + candidate.slow
+    return candidate.in_time >= SAMPLES_MIN or candidate.in_time > others
+
+
 def _is_proven(evaluation: canary_analysis.Evaluation) -> bool:
     """Return whether the results cover the requests under way, and give no reason to wait.
 
--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts.py
@@ -317,8 +317,8 @@
         if self.candidate_share(rollout, now_ms) < 1:
             return const.PHASE_RUNNING
         summed = self._evaluate(rollout).summed
-        if summed.candidate.sent and not summed.candidate.in_time:
-            # The version has served nothing yet, and the old servers stop at the completion.
+        if summed.candidate.sent and not rollout_schedule.may_complete(summed.candidate):
+            # The old servers stop at the completion.
             return const.PHASE_RUNNING
         idle = (
             summed.baseline.running <= 0
--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -205,6 +205,17 @@
     assert served.phases == [const.PHASE_RUNNING]
 
 
+@pytest.mark.parametrize('poor', [(SLOW_MS, 200), (USUAL_MS, 500)])
+def test_version_with_as_many_poor_results_as_good_ones_is_not_completed(gateway, poor):
+    """Guards against stopping the old servers for a version that is bad but has few requests."""
+    # The usual time of a response is known.
+    Service(gateway, lambda _: REFUSAL).run(3000)
+    start_rollout(gateway)
+    good = (USUAL_MS, 200)
+    served = Service(gateway, lambda number: good if number % 2 else poor, 0.6).run(ROLLOUT_MS)
+    assert served.phases == [const.PHASE_RUNNING]
+
+
 def test_good_version_completes_in_a_service_with_few_requests(gateway):
     """Guards against a rollout that waits for more results than there are requests."""
     start_rollout(gateway)
