--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -264,7 +264,7 @@
         self._backends.close_expired()
 
     def _check_settings(self) -> None:
-        """Report dropped log lines and much memory in use, and reload the settings if the file has changed.
+        """Report dropped log lines, memory and connections; reload settings that have changed.
 
         While the file is absent, the settings stay in force.
         """
