Relay the difference after a new read of the store, not all records

Cause, shown on reducers: after a follower had read the store anew (lost history, a page that was too large), its replica claimed to know changes from that read on only. Everybody behind it was sent all records, once by each later heartbeat without progress. A relay with a link of 6 Mbit/s and 21 children sent 7.2 MB, and 17.8 MB with 1,400 routes more, and what changed next waited behind it.

The reader knows the difference of the two reads. It is relayed at once, as one message that names the revisions from which it is complete. A refresh now keeps the revision of the record that it replaces, since a record of an earlier era seemed unchanged to those that had the difference already.

FleetNetwork has links with rates and the sizes of the real codec.

--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -326,7 +326,7 @@
         _loads(state, relation, now_ms),
         state.links.are_lost,
         _ids(peer for peer in live if peer.links_lost),
-        state.replica.complete_from,
+        state.replica.history.complete_from,
         state.replica.changed_revision,
     )
 
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -166,11 +166,16 @@
         The changes are complete for a peer that knows the store up to this revision.
     revision
         Store revision that the peer reaches with the changes.
+    base_revision_max
+        Highest store revision of a peer that reaches it. The records are then the difference of two
+        reads of the store, which lacks what was written and deleted between them; ``None`` if there
+        is no such bound.
     """
 
     base_revision: int
     revision: int
     records: tuple[RelayedRecord, ...]
+    base_revision_max: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -102,7 +102,7 @@
 ) -> list[core_effects.Effect]:
     """Apply a complete read of the store; log how much of it is news."""
     known_revision = state.replica.revision
-    outputs = store_relay.note_store_reachable(state, now_ms, snapshot.revision)
+    outputs = store_relay.note_store_reachable(state, now_ms, known_revision)
     changed = state.replica.apply_snapshot(snapshot, now_ms)
     log_fields = (
         ('revision', snapshot.revision),
@@ -111,7 +111,9 @@
         ('known_revision', known_revision),
     )
     outputs.append(core_effects.Log('snapshot_applied', log_fields))
-    outputs.extend(store_records.apply_records(state, changed, now_ms))
+    applied = store_records.apply_records(state, changed, now_ms)
+    outputs.extend(store_relay.relay_changes(state, known_revision, now_ms))
+    outputs.extend(applied)
     # Requests may follow at once; the shares must not be those of an instance that knew no other.
     state.quotas.divide_among(state.fleet.size(now_ms))
     return outputs
--- a/rhubarbspar/gateway/store_relay.py
+++ b/rhubarbspar/gateway/store_relay.py
@@ -7,12 +7,14 @@
 import typing
 
 from rhubarbspar.core import effects as core_effects
+from rhubarbspar.gateway import change_history
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import fleet
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway import store_batches
 from rhubarbspar.gateway import store_records
 from rhubarbspar.gateway import store_replica
 
@@ -63,13 +65,20 @@
     replica = state.replica
     _note_relayed(state, now_ms)
     base_revision = replica.changed_revision
-    if relayed.revision <= replica.revision or relayed.base_revision > replica.revision:
+    if relayed.revision <= replica.revision:
+        return []
+    if not store_batches.continues_from(
+        replica.revision, relayed.base_revision, relayed.base_revision_max
+    ):
         return []
     records = tuple(
         events.RecordRead(record.key, record.revision, record.content) for record in relayed.records
     )
     log_fields = (('peer', peer_id), ('revision', relayed.revision), ('records', len(records)))
     changed = replica.apply_changes(records, relayed.revision, now_ms)
+    if relayed.base_revision_max is not None:
+        gap = change_history.RevisionGap(relayed.base_revision_max, relayed.revision)
+        replica.add_gap(gap)
     applied = store_records.apply_records(state, changed, now_ms)
     passed_on = _pass_on(state, base_revision, peer_id, now_ms)
     return [core_effects.Log('news_relayed', log_fields), *passed_on, *applied]
@@ -93,6 +102,7 @@
     if part.revision <= state.replica.revision:
         return []
     _note_relayed(state, now_ms)
+    base_revision = state.replica.revision
     snapshot = events.StoreSnapshot(tuple(partial.records), part.revision)
     changed = state.replica.apply_snapshot(snapshot, now_ms)
     log_fields = (
@@ -103,7 +113,8 @@
     )
     applied = store_records.apply_records(state, changed, now_ms)
     state.quotas.divide_among(state.fleet.size(now_ms))
-    return [core_effects.Log('snapshot_relayed', log_fields), *applied]
+    passed_on = _pass_on(state, base_revision, peer_id, now_ms)
+    return [core_effects.Log('snapshot_relayed', log_fields), *passed_on, *applied]
 
 
 def relay_changes(
@@ -130,7 +141,7 @@
     if not (is_overdue or _is_responsible_for(state, peer, now_ms)):
         return []
     base_revision = peer.next_unsent_revision(now_ms)
-    if base_revision and base_revision >= state.replica.complete_from:
+    if base_revision and state.replica.history.is_complete_after(base_revision):
         return _send_changes(state, base_revision, [peer.member.instance_id], now_ms)
     if base_revision and not (is_overdue or peer.relation == fleet.Relation.CHILD):
         # Another instance may know all changes since then.
@@ -215,7 +226,7 @@
     """
     if not receiver_ids:
         return []
-    base_revision = max(base_revision, state.replica.complete_from)
+    base_revision = state.replica.history.first_complete_revision(base_revision)
     batches = state.replica.change_batches(base_revision, BATCH_MAX_BYTES)
     if not batches:
         return []
@@ -236,7 +247,7 @@
     log_fields = (
         ('peer', peer_id),
         ('peer_revision', peer.store_revision),
-        ('complete_from', replica.complete_from),
+        ('complete_from', replica.history.complete_from),
         ('revision', replica.revision),
     )
     outputs: list[core_effects.Effect] = [core_effects.Log('snapshot_sent', log_fields)]
@@ -247,15 +258,17 @@
                 replica.revision, part.after_key, part.is_last, _relayed(part.records)
             ),
         )
-        for part in replica.snapshot_parts(BATCH_MAX_BYTES)
+        for part in store_batches.split_snapshot(replica.existing(), BATCH_MAX_BYTES)
     )
     return outputs
 
 
 def _relay_batch(
-    batch: store_replica.ChangeBatch, receiver_ids: list[str]
+    batch: store_batches.ChangeBatch, receiver_ids: list[str]
 ) -> core_effects.SendMessage | core_effects.Multicast:
-    relayed = messages.StoreNews(batch.base_revision, batch.revision, _relayed(batch.records))
+    relayed = messages.StoreNews(
+        batch.base_revision, batch.revision, _relayed(batch.records), batch.base_revision_max
+    )
     if len(receiver_ids) == 1:
         return core_effects.SendMessage(receiver_ids[0], relayed)
     return core_effects.Multicast(tuple(receiver_ids), relayed)
--- a/rhubarbspar/gateway/store_replica.py
+++ b/rhubarbspar/gateway/store_replica.py
@@ -4,19 +4,23 @@
 """
 
 import dataclasses
-import itertools
 import math
 import operator
 import typing
 
+from rhubarbspar.gateway import change_history
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import record_table
 from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway import store_batches
 
 # Deleted keys are kept as tombstones, up to this number, to relay the deletion to peers without
 # contact to the store.
 TOMBSTONES_MAX: typing.Final = 5000
 
+# A difference between two reads of the store is relayed as such up to this size, in one message; what
+# is larger is relayed as a snapshot, in parts.
+DIFFERENCE_MAX_BYTES: typing.Final = 524_288
 # Registrations whose leases lapsed in a store outage are renewed within this time after it ends.
 REGISTRATION_GRACE_MS: typing.Final = 2000
 # After a restore of the store, records that the copy lacks are kept for this long: operators and
@@ -33,24 +37,6 @@
     changed: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ChangeBatch:
-    """Changes that lead from one revision to another."""
-
-    base_revision: int
-    revision: int
-    records: tuple[events.RecordRead, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SnapshotPart:
-    """Some of the records, in the order of their keys; ``after_key`` ends the part before."""
-
-    after_key: str
-    is_last: bool
-    records: tuple[events.RecordRead, ...]
-
-
 @dataclasses.dataclass(slots=True)
 class StoreReplica:
     """Records and tombstones by key, and how far they are known to be current.
@@ -59,19 +45,20 @@
     ----------
     revision
         Store revision up to which all changes are known; 0 before the first snapshot.
-    complete_from
-        Store revision after which all changes are known, deletions included. Earlier deletions may
-        be missing: a snapshot has none, and old tombstones are dropped.
     reachable
         Whether the last contact with the store, by this instance or a peer, succeeded.
     directly_reachable
         Whether this instance itself watches the store and reaches it.
     last_contact_ms
         When the store, or a peer that reaches it, last answered.
+    history
+        From which revision on all changes are known.
     changed_revision
         Revision of the last change that instances without the store need to know.
     refreshed
         Revision of the last such change of the records that were written again without one.
+    replaced
+        Revisions of the records that the last merge has replaced.
     registration_grace_until_ms
         Until then a deleted registration may only have lapsed in a store outage and be renewed.
     lost_removed_ms
@@ -83,7 +70,6 @@
 
     revision: int = 0
     changed_revision: int = 0
-    complete_from: int = 0
     reachable: bool = False
     directly_reachable: bool = False
     last_contact_ms: float = float('-inf')
@@ -92,6 +78,10 @@
     ignored_count: int = 0
     records: record_table.RecordTable = dataclasses.field(default_factory=record_table.RecordTable)
     refreshed: dict[str, int] = dataclasses.field(default_factory=dict)
+    history: change_history.ChangeHistory = dataclasses.field(
+        default_factory=change_history.ChangeHistory
+    )
+    replaced: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def apply_snapshot(
         self, snapshot: events.StoreSnapshot, now_ms: float
@@ -101,24 +91,35 @@
         Records of an earlier era that the snapshot lacks are kept until ``lost_removed_ms``. What
         was written and deleted since the known revision is in neither of them.
         """
+        known_revision = self.revision
         self.mark_reachable(snapshot.revision, now_ms, now_ms)
-        self.complete_from = max(self.complete_from, snapshot.revision)
         self.changed_revision = max(self.changed_revision, snapshot.revision)
         current = {record.key: record for record in snapshot.records}
         deleted = [
             events.RecordRead(known.key, snapshot.revision, None)
-            for known in self._existing()
+            for known in self.existing()
             if known.key not in current and not self._may_be_written_again(known)
         ]
         # Deletions come first, since they make room.
-        return self._merge((*deleted, *snapshot.records))
+        changed = self._merge((*deleted, *snapshot.records))
+        size_bytes = sum(len(record.content or b'') for record in changed)
+        if known_revision and size_bytes <= DIFFERENCE_MAX_BYTES:
+            self.add_gap(change_history.RevisionGap(known_revision, snapshot.revision))
+        else:
+            self.history.forget_before(snapshot.revision)
+        return changed
+
+    def add_gap(self, gap: change_history.RevisionGap) -> None:
+        """Note that only the difference is known between two revisions."""
+        self.changed_revision = max(self.changed_revision, gap.end)
+        self.history.add_gap(gap)
 
     def apply_changes(
         self, records: tuple[events.RecordRead, ...], revision: int, now_ms: float
     ) -> tuple[events.RecordRead, ...]:
         """Merge changes; return those that are newer than the known records."""
         if not self.revision:
-            self.complete_from = revision
+            self.history.forget_before(revision)
         self._advance(revision, now_ms)
         return self._merge(records)
 
@@ -130,7 +131,7 @@
         era = revisions.era_of(self.revision)
         lost = [
             events.RecordRead(known.key, self.revision, None)
-            for known in self._existing()
+            for known in self.existing()
             if revisions.era_of(known.revision) < era
         ]
         return self._merge(tuple(lost))
@@ -164,67 +165,50 @@
         if has_all and self.revision and known.changed >= 0:
             self.revision = max(self.revision, known.revision)
 
-    def changes_after(self, revision: int) -> tuple[events.RecordRead, ...]:
-        """Return the records and tombstones that have changed since a revision.
+    def changes_after(
+        self, revision: int, last_revision: float = math.inf
+    ) -> tuple[events.RecordRead, ...]:
+        """Return the records and tombstones that have last changed between two revisions.
 
         Records that were only written again are left out.
         """
         newer = (record for record in self.records.values() if record.revision > revision)
-        changed = (record for record in newer if self._changed_at(record) > revision)
+        changed = (
+            record for record in newer if revision < self._changed_at(record) <= last_revision
+        )
         return tuple(sorted(changed, key=self._changed_at))
 
-    def change_batches(self, revision: int, bytes_max: int) -> tuple[ChangeBatch, ...]:
+    def change_batches(
+        self, revision: int, bytes_max: int
+    ) -> tuple[store_batches.ChangeBatch, ...]:
         """Return the changes since a revision in batches that build on each other.
 
         Parameters
         ----------
+        revision
+            A revision after which the changes are known.
         bytes_max
             Size of the contents of a batch. Only the changes of one revision, which stay together,
-            may be larger.
+            may be larger, and a difference.
         """
-        batches: list[ChangeBatch] = []
-        records: list[events.RecordRead] = []
+        batches: list[store_batches.ChangeBatch] = []
         base_revision = revision
-        size = 0
-        for at_revision, group in itertools.groupby(
-            self.changes_after(revision), key=self._changed_at
-        ):
-            changed = tuple(group)
-            added = sum(len(record.content or b'') for record in changed)
-            if records and size + added > bytes_max:
-                batches.append(ChangeBatch(base_revision, at_revision - 1, tuple(records)))
-                base_revision = at_revision - 1
-                records = []
-                size = 0
-            records.extend(changed)
-            size += added
-        if records:
-            batches.append(ChangeBatch(base_revision, self.revision, tuple(records)))
+        for gap in self.history.gaps:
+            if gap.end <= base_revision:
+                continue
+            earlier = self._split_changes(base_revision, gap.start, bytes_max)
+            if earlier:
+                base_revision = gap.start
+            batches.extend(earlier)
+            difference = self.changes_after(gap.start, gap.end)
+            batches.append(store_batches.ChangeBatch(base_revision, gap.end, difference, gap.start))
+            base_revision = gap.end
+        batches.extend(self._split_changes(base_revision, self.revision, bytes_max))
         return tuple(batches)
 
-    def snapshot_parts(self, bytes_max: int) -> tuple[SnapshotPart, ...]:
-        """Return all records in parts.
-
-        Parameters
-        ----------
-        bytes_max
-            Size of the contents of a part; a part has one record at least.
-        """
-        parts: list[SnapshotPart] = []
-        records: list[events.RecordRead] = []
-        after_key = ''
-        size = 0
-        for record in sorted(self._existing(), key=operator.attrgetter('key')):
-            added = len(record.content or b'')
-            if records and size + added > bytes_max:
-                parts.append(SnapshotPart(after_key, is_last=False, records=tuple(records)))
-                after_key = records[-1].key
-                records = []
-                size = 0
-            records.append(record)
-            size += added
-        parts.append(SnapshotPart(after_key, is_last=True, records=tuple(records)))
-        return tuple(parts)
+    def existing(self) -> list[events.RecordRead]:
+        """Return the records without the tombstones."""
+        return [record for record in self.records.values() if record.content is not None]
 
     def note_unreadable(self, record: events.RecordRead) -> None:
         """Note a change to a content that no instance can read; it is kept without the content."""
@@ -239,10 +223,11 @@
     def note_refresh(self, record: events.RecordRead) -> None:
         """Note that a record was written again without a change.
 
-        Its last change is at most as new as the last change of all records. The first time in an
-        era counts as a change: it shows that the record was not lost in the restore.
+        The first time in an era counts as a change: it shows that the record was not lost in the
+        restore.
         """
-        last_changed = self.refreshed.get(record.key, self.changed_revision)
+        replaced_revision = self.replaced.get(record.key, self.changed_revision)
+        last_changed = self.refreshed.get(record.key, replaced_revision)
         if revisions.era_of(last_changed) < revisions.era_of(record.revision):
             self.note_change(record)
         else:
@@ -259,14 +244,19 @@
             self.lost_removed_ms = now_ms + RESTORE_GRACE_MS
         self.revision = max(self.revision, revision)
 
+    def _split_changes(
+        self, base_revision: int, revision: int, bytes_max: int
+    ) -> list[store_batches.ChangeBatch]:
+        """Return the changes between two revisions in batches."""
+        last_revision = revision if revision < self.revision else math.inf
+        changed = self.changes_after(base_revision, last_revision)
+        whole = store_batches.ChangeBatch(base_revision, revision, ())
+        return store_batches.split_changes(changed, self._changed_at, whole, bytes_max)
+
     def _changed_at(self, record: events.RecordRead) -> int:
         """Return the revision of the last change of a record that was more than a refresh."""
         return self.refreshed.get(record.key, record.revision)
 
-    def _existing(self) -> list[events.RecordRead]:
-        """Return the records without the tombstones."""
-        return [record for record in self.records.values() if record.content is not None]
-
     def _may_be_written_again(self, record: events.RecordRead) -> bool:
         """Return whether a record that the store lacks may only be lost in a restore."""
         is_earlier = revisions.era_of(record.revision) < revisions.era_of(self.revision)
@@ -275,6 +265,7 @@
     def _merge(self, records: tuple[events.RecordRead, ...]) -> tuple[events.RecordRead, ...]:
         """Store the records that are newer than the known ones; return them by revision."""
         changed = []
+        self.replaced.clear()
         for record in records:
             known = self.records.get(record.key)
             if known is not None and record.revision <= known.revision:
@@ -282,6 +273,8 @@
             if not self.records.has_room_for(record):
                 self.ignored_count += 1
                 continue
+            if known is not None:
+                self.replaced.setdefault(record.key, known.revision)
             self.records[record.key] = record
             changed.append(record)
         self._prune_tombstones()
@@ -293,4 +286,4 @@
         if excess > 0:
             for record in sorted(tombstones, key=operator.attrgetter('revision'))[:excess]:
                 self.records.pop(record.key)
-                self.complete_from = max(self.complete_from, record.revision)
+                self.history.forget_before(record.revision)
--- a/tests/gateway/fleet_network.py
+++ b/tests/gateway/fleet_network.py
@@ -1,5 +1,6 @@
 """Fleet of gateway reducers on a simulated network with delays, losses and partitions."""
 
+import collections
 import heapq
 import itertools
 import random
@@ -13,6 +14,7 @@
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import revisions
 from tests.gateway import conftest
+from tests.gateway import links
 
 TICK_MS = 50
 DELAY_MIN_MS, DELAY_MAX_MS = 1, 40
@@ -46,10 +48,23 @@
         Instances of each failure domain.
     seed
         Seed of the delays.
+    link_rate
+        Rate of the link of an instance by its id, bytes per millisecond; without it, messages have
+        no size.
+
+    Attributes
+    ----------
+    uplinks
+        Links of the instances on which their messages wait, if they have rates.
+    applied_ms
+        When each instance put each version of the configuration in force.
     """
 
-    def __init__(self, domains, size, seed=1):
+    def __init__(self, domains, size, seed=1, link_rate=None):
         """Create and register all instances; they have 3 s to connect."""
+        self.link_rate = link_rate
+        self.uplinks = {}
+        self.applied_ms = collections.defaultdict(dict)
         self.now_ms = 1_000_000.0
         self.random = random.Random(seed)
         self.instances = {}
@@ -57,6 +72,8 @@
         self.cut_pairs = set()
         self.turned_away = set()
         self.without_changes = set()
+        # Instances whose watches hear nothing for now.
+        self.without_watch = set()
         # Time by which a watch delivers a change later than a message takes.
         self.watch_delay_ms = 0
         self.store_revision = 0
@@ -77,6 +94,8 @@
         member = models.Member(instance_id, incarnation, domain, region, f'{instance_id}:80', '')
         self.instances[instance_id] = Instance(member, self.now_ms, self._domains)
         self.instances[instance_id].records = self._decoded
+        if self.link_rate:
+            self.uplinks[instance_id] = links.Uplink(self.link_rate(instance_id))
         if self.store_revision and instance_id not in self.turned_away:
             self._reduce(instance_id, self._snapshot())
         self.write(f'members/{instance_id}', member)
@@ -84,6 +103,7 @@
     def kill(self, instance_id):
         """End the process of an instance; its connections are reset."""
         self.instances.pop(instance_id)
+        self.uplinks.pop(instance_id, None)
         for pair in sorted(self.connections, key=sorted):
             if instance_id not in pair:
                 continue
@@ -99,16 +119,26 @@
         self.store_revision += 1
         content = None
         if record is not None:
-            content = f'{key}@{self.store_revision}'.encode()
+            content = self._encode(key, record)
             self._decoded[content] = record
         self.records[key] = (self.store_revision, content)
         change = events.StoreChanged(
             (events.RecordRead(key, self.store_revision, content),), self.store_revision
         )
-        for instance_id, instance in self.instances.items():
-            if instance.following and instance_id not in self.turned_away:
+        for instance_id in self.instances:
+            if self._is_watching(instance_id):
                 self._later(instance_id, change, added_ms=self.watch_delay_ms)
 
+    def stop_watches(self):
+        """Let the watches of the store hear nothing from now on."""
+        self.without_watch.update(filter(self._is_watching, self.instances))
+
+    def read_anew(self):
+        """Forget the history of the store: whoever has watched without hearing reads all records."""
+        for instance_id in sorted(self.without_watch & self.instances.keys()):
+            self._later(instance_id, self._snapshot())
+        self.without_watch.clear()
+
     def restore(self, lost_keys):
         """Restore the store from a copy without some keys; its revisions begin again below."""
         era = revisions.era_of(self.store_revision) + 1
@@ -136,6 +166,7 @@
         until_ms = self.now_ms + duration_ms
         while self.now_ms < until_ms:
             self.now_ms += TICK_MS
+            self._advance_links()
             while self._queue and self._queue[0][0] <= self.now_ms:
                 _, _, instance_id, event, pair = heapq.heappop(self._queue)
                 if self._is_deliverable(instance_id, event, pair):
@@ -174,6 +205,10 @@
             return False
         return instance.following or not isinstance(event, events.StoreChanged)
 
+    def _is_watching(self, instance_id):
+        is_served = instance_id not in self.turned_away | self.without_watch
+        return is_served and self.instances[instance_id].following
+
     def _is_up(self, pair):
         return pair is None or (pair in self.connections and pair not in self.cut_pairs)
 
@@ -181,17 +216,23 @@
         instance = self.instances[instance_id]
         instance.now_ms = self.now_ms
         outputs = instance.reduce(event)
+        self._note_applied(instance_id, outputs)
         self._apply(instance_id, outputs)
         return outputs
 
+    def _note_applied(self, instance_id, outputs):
+        for output in outputs:
+            if isinstance(output, core_effects.Log) and output.name == 'configuration_taken':
+                version = dict(output.fields)['version']
+                self.applied_ms[version].setdefault(instance_id, self.now_ms)
+
     def _apply(self, instance_id, outputs):
         for output in outputs:
             match output:
                 case core_effects.SendMessage(peer_id, message):
-                    self._send(instance_id, peer_id, message)
+                    self._send_to_all(instance_id, (peer_id,), message)
                 case core_effects.Multicast(peer_ids, message):
-                    for peer_id in peer_ids:
-                        self._send(instance_id, peer_id, message)
+                    self._send_to_all(instance_id, peer_ids, message)
                 case core_effects.DialPeer(peer_id, _):
                     self._connect(instance_id, peer_id)
                 case core_effects.ClosePeer(peer_id):
@@ -215,15 +256,38 @@
         )
         self._later(instance_id, events.StoreChanged(missed, self.store_revision))
 
-    def _send(self, sender_id, receiver_id, message):
+    def _send_to_all(self, sender_id, receiver_ids, message):
+        size_bytes = len(links.CODEC.encode(message)) if self.link_rate else 0
+        for receiver_id in receiver_ids:
+            self._send(sender_id, receiver_id, message, size_bytes)
+
+    def _send(self, sender_id, receiver_id, message, size_bytes):
         pair = frozenset((sender_id, receiver_id))
         self.instances[sender_id].message_count += 1
         is_change = isinstance(message, messages.StoreNews | messages.StoreSnapshotPart)
         if is_change and receiver_id in self.without_changes:
             return
-        if self._is_up(pair):
+        if not self._is_up(pair):
+            return
+        if self.link_rate:
+            self.uplinks[sender_id].push(receiver_id, message, size_bytes)
+        else:
             self._later(receiver_id, core_events.MessageReceived(sender_id, message), pair)
 
+    def _advance_links(self):
+        """Let the links send for one step; what leaves them arrives after the usual delay."""
+        for sender_id, uplink in self.uplinks.items():
+            for receiver_id, message in uplink.advance(TICK_MS):
+                pair = frozenset((sender_id, receiver_id))
+                received = core_events.MessageReceived(sender_id, message)
+                self._later(receiver_id, received, pair)
+
+    def _encode(self, key, record):
+        """Return a content that stands for a record."""
+        if self.link_rate:
+            return links.encode_content(key, self.store_revision, record)
+        return f'{key}@{self.store_revision}'.encode()
+
     def _connect(self, dialler_id, peer_id):
         pair = frozenset((dialler_id, peer_id))
         if peer_id not in self.instances or pair in self.cut_pairs or pair in self.connections:
@@ -237,6 +301,8 @@
         self.connections.discard(pair)
         for instance_id in sorted(pair & self.instances.keys()):
             (other_id,) = pair - {instance_id}
+            if self.link_rate:
+                self.uplinks[instance_id].clear(other_id)
             self._later(instance_id, core_events.PeerDisconnected(other_id))
 
     def _snapshot(self):
--- a/tests/gateway/test_store_relay.py
+++ b/tests/gateway/test_store_relay.py
@@ -117,9 +117,9 @@
     """Guards against a peer that is told of all changes by one that lacks the deletions."""
     replica = store_replica.StoreReplica()
     replica.apply_snapshot(events.StoreSnapshot((events.RecordRead('a', 5, b'x'),), 9), 0)
-    assert replica.complete_from == 9
+    assert replica.history.complete_from == 9
     replica.apply_changes((events.RecordRead('a', 10, None),), 10, 0)
-    assert replica.complete_from == 9
+    assert replica.history.complete_from == 9
 
 
 def test_dropped_tombstones_are_not_claimed():
@@ -128,7 +128,7 @@
     dropped = 3
     for revision in range(1, store_replica.TOMBSTONES_MAX + dropped + 1):
         replica.apply_changes((events.RecordRead(f'k{revision}', revision, None),), revision, 0)
-    assert replica.complete_from == dropped
+    assert replica.history.complete_from == dropped
 
 
 def test_snapshot_in_parts_replaces_all_records(gateway):
@@ -147,4 +147,5 @@
     gateway.reduce(part('', False, 'servers/a'))
     gateway.reduce(part('servers/a', True, 'servers/stock-9'))
     assert set(gateway.state.servers.views) == {'stock-9'}
-    assert gateway.state.replica.complete_from == 100
+    assert not gateway.state.replica.history.is_complete_after(99)
+    assert gateway.state.replica.history.is_complete_after(100)
