Let heartbeats overtake long changes between instances

A long list of changes to 21 children takes seconds on a link of 6 Mbit/s, and heartbeats waited behind it in the queue of each connection. A relay that is not heard for 1.5 s is replaced, and the next one sends the same on its own narrow link.

Frames of changes go out in fragments of 16 KB while no other frame waits. Fragments are a subprotocol of the websocket; an earlier release does not offer it and gets whole frames.

--- a/rhubarbspar/peers/connection.py
+++ b/rhubarbspar/peers/connection.py
@@ -1,7 +1,8 @@
 """Authenticated connection to one peer, with a bounded send queue."""
 
 import asyncio
-import collections
+import contextlib
+import socket
 from collections import abc
 
 import websockets
@@ -9,7 +10,9 @@
 
 from rhubarbspar.http1 import memory
 from rhubarbspar.peers import const
+from rhubarbspar.peers import fragments
 from rhubarbspar.peers import handshake
+from rhubarbspar.peers import send_queue
 
 
 class PeerConnection:
@@ -28,6 +31,8 @@
     ----------
     preferred
         Whether the instance with the lower id has opened the connection.
+    assembler
+        Puts the received fragments together.
     """
 
     def __init__(
@@ -38,22 +43,34 @@
     ) -> None:
         self.identity = identity
         self.preferred = False
+        self.assembler = fragments.Assembler()
         self._websocket = websocket
-        self._send_queue: collections.deque[bytes] = collections.deque()
+        self._send_queue: send_queue.SendQueue[bytes] = send_queue.SendQueue()
         self._share = memory.Share(budget)
         self._queue_changed = asyncio.Event()
         self._closing = False
+        # Releases before the fragments do not offer the subprotocol.
+        self._accepts_fragments = websocket.subprotocol == const.SUBPROTOCOL
+        _limit_unsent(websocket)
 
-    def enqueue(self, frame: bytes) -> bool:
-        """Queue a frame for sending; return whether the queue had room."""
-        queued_bytes = self._share.size_bytes + len(frame)
+    def enqueue(self, frame: bytes, *, is_bulk: bool = False) -> bool:
+        """Queue a frame for sending; return whether the queue had room.
+
+        Parameters
+        ----------
+        is_bulk
+            Whether other frames may overtake this one.
+        """
+        pieces = fragments.split(frame) if is_bulk and self._accepts_fragments else [frame]
+        queued_bytes = self._share.size_bytes + sum(map(len, pieces))
         if (
             queued_bytes > const.SEND_QUEUE_MAX_BYTES
-            or len(self._send_queue) >= const.SEND_QUEUE_MAX_FRAMES
+            or len(self._send_queue) + len(pieces) > const.SEND_QUEUE_MAX_FRAMES
             or not self._share.budget.fits(self._share, queued_bytes)
         ):
             return False
-        self._send_queue.append(frame)
+        for piece in pieces:
+            self._send_queue.push(piece, is_bulk=is_bulk)
         self._share.hold(queued_bytes)
         self._queue_changed.set()
         return True
@@ -91,13 +108,21 @@
             await self._queue_changed.wait()
             self._queue_changed.clear()
             while self._send_queue:
-                frame = self._send_queue[0]
-                await self._websocket.send(frame)
-                self._dequeue(frame)
+                await self._send(self._send_queue.pop())
         await self._websocket.close()
 
-    def _dequeue(self, frame: bytes) -> None:
-        # ``abort`` may have cleared the queue while the frame was being sent.
-        if self._send_queue:
-            self._send_queue.popleft()
-            self._share.hold(self._share.size_bytes - len(frame))
+    async def _send(self, frame: bytes) -> None:
+        await self._websocket.send(frame)
+        # ``abort`` may have released the share while the frame was being sent.
+        self._share.hold(max(0, self._share.size_bytes - len(frame)))
+
+
+def _limit_unsent(websocket: websocket_connection.Connection) -> None:
+    """Keep the kernel from accepting much more than the link can send at once."""
+    connected: socket.socket | None = websocket.transport.get_extra_info('socket')
+    option = getattr(socket, 'TCP_NOTSENT_LOWAT', None)
+    if connected is None or option is None:
+        return
+    with contextlib.suppress(OSError):
+        # Some systems do not know the option; what has been accepted is then sent first.
+        connected.setsockopt(socket.IPPROTO_TCP, option, const.SOCKET_UNSENT_MAX_BYTES)
--- a/rhubarbspar/peers/const.py
+++ b/rhubarbspar/peers/const.py
@@ -2,14 +2,16 @@
 
 import typing
 
+import websockets
+
 from rhubarbspar import const
 
 # Room in a frame for everything but the body of a request or response.
 ENVELOPE_MAX_BYTES: typing.Final = 65_536
 FRAME_MAX_BYTES: typing.Final = const.BODY_MAX_BYTES + ENVELOPE_MAX_BYTES
-# Messages that are compressed from this size on: changes of the store are long lists of similar
-# texts, which a relay sends to each of its children.
-COMPRESSED_TYPES: typing.Final = frozenset(('StoreNews',))
+# Messages that are compressed from a size on, and that others overtake: changes of the store are long
+# lists of similar texts, which a relay sends to each of its children.
+BULK_TYPES: typing.Final = frozenset(('StoreNews', 'StoreSnapshotPart'))
 COMPRESSED_MIN_BYTES: typing.Final = 1024
 # Nesting of arrays and maps within a frame.
 NESTING_DEPTH_MAX: typing.Final = 16
@@ -37,7 +39,11 @@
 # Upper bound of what the queues to all peers hold together.
 SEND_QUEUES_MAX_BYTES: typing.Final = 33_554_432
 SEND_QUEUE_MAX_FRAMES: typing.Final = 4096
-WRITE_BUFFER_MAX_BYTES: typing.Final = 262_144
+# What is in these buffers cannot be overtaken any more.
+WRITE_BUFFER_MAX_BYTES: typing.Final = 32_768
+SOCKET_UNSENT_MAX_BYTES: typing.Final = 32_768
+# Offered by peers that accept fragments of frames.
+SUBPROTOCOL: typing.Final = websockets.Subprotocol('rhubarbspar.fragments')
 
 METRIC_PEERS: typing.Final = 'peers'
 
--- a/rhubarbspar/peers/transport.py
+++ b/rhubarbspar/peers/transport.py
@@ -116,6 +116,7 @@
             self._accept,
             backlog=incoming.backlog(self._handshakes),
             create_connection=create,
+            select_subprotocol=_select_subprotocol,
             **listening,
             **_OPTIONS,
         )
@@ -173,11 +174,12 @@
         except errors.CodecError as error:
             self._count(_codec_error_reason(error))
             return
+        is_bulk = type(message).__name__ in const.BULK_TYPES
         for peer_id in peer_ids:
             peer = self._connections.get(peer_id)
             if peer is None:
                 self._count(const.REASON_NOT_CONNECTED)
-            elif not peer.enqueue(frame):
+            elif not peer.enqueue(frame, is_bulk=is_bulk):
                 self._count(const.REASON_SEND_QUEUE_FULL)
 
     def _dial(self, peer_id: str, peer_address: str) -> None:
@@ -288,11 +290,12 @@
             self._count(const.REASON_FRAME_MALFORMED)
             return
         try:
-            message = self._codec.decode(frame)
+            message = _decode(self._codec, peer, frame)
         except errors.CodecError as error:
             self._count(_codec_error_reason(error))
             return
-        self._deliver_soon(events.MessageReceived(peer_id, message))
+        if message is not None:
+            self._deliver_soon(events.MessageReceived(peer_id, message))
 
     def _deliver_soon(self, event: events.Event) -> None:
         # Effects are applied while the daemon processes an event; delivering now would re-enter it.
@@ -319,17 +322,37 @@
         self._report(effects.Count(const.METRIC_PEERS, reason))
 
 
+def _decode(
+    frame_codec: codec.Codec, peer: connection.PeerConnection, frame: bytes
+) -> messages.Message | None:
+    """Return the message in a frame; ``None`` while fragments of it are missing."""
+    whole_frame = peer.assembler.add(frame)
+    return None if whole_frame is None else frame_codec.decode(whole_frame)
+
+
 async def _open_connection(
     handshaker: handshake.Handshaker,
     send_budget: memory.MemoryBudget,
     peer_id: str,
     peer_address: str,
 ) -> connection.PeerConnection:
-    websocket = await client.connect(_websocket_url(peer_address), proxy=None, **_OPTIONS)
+    websocket = await client.connect(
+        _websocket_url(peer_address),
+        proxy=None,
+        subprotocols=(const.SUBPROTOCOL,),
+        **_OPTIONS,
+    )
     identity = await handshaker.dial(websocket, peer_id)
     return connection.PeerConnection(identity, websocket, send_budget)
 
 
+def _select_subprotocol(
+    _: server.ServerConnection, offered: abc.Sequence[websockets.Subprotocol]
+) -> websockets.Subprotocol | None:
+    """Accept fragments from a peer that offers them; an earlier release offers nothing."""
+    return const.SUBPROTOCOL if const.SUBPROTOCOL in offered else None
+
+
 def _websocket_url(peer_address: str) -> str:
     host, _, port = peer_address.rpartition(':')
     try:
--- a/tests/gateway/fleet_network.py
+++ b/tests/gateway/fleet_network.py
@@ -257,11 +257,11 @@
         self._later(instance_id, events.StoreChanged(missed, self.store_revision))
 
     def _send_to_all(self, sender_id, receiver_ids, message):
-        size_bytes = len(links.CODEC.encode(message)) if self.link_rate else 0
+        frame = links.CODEC.encode(message) if self.link_rate else b''
         for receiver_id in receiver_ids:
-            self._send(sender_id, receiver_id, message, size_bytes)
+            self._send(sender_id, receiver_id, message, frame)
 
-    def _send(self, sender_id, receiver_id, message, size_bytes):
+    def _send(self, sender_id, receiver_id, message, frame):
         pair = frozenset((sender_id, receiver_id))
         self.instances[sender_id].message_count += 1
         is_change = isinstance(message, messages.StoreNews | messages.StoreSnapshotPart)
@@ -270,7 +270,7 @@
         if not self._is_up(pair):
             return
         if self.link_rate:
-            self.uplinks[sender_id].push(receiver_id, message, size_bytes)
+            self.uplinks[sender_id].push(receiver_id, message, frame)
         else:
             self._later(receiver_id, core_events.MessageReceived(sender_id, message), pair)
 
--- a/tests/gateway/links.py
+++ b/tests/gateway/links.py
@@ -6,7 +6,10 @@
 
 from rhubarbspar.gateway import messages
 from rhubarbspar.peers import codec
+from rhubarbspar.peers import const
+from rhubarbspar.peers import fragments
 from rhubarbspar.peers import registry
+from rhubarbspar.peers import send_queue
 
 # A packet of Ethernet; the connections of an instance share its link packet by packet.
 PACKET_BYTES = 1500
@@ -31,17 +34,21 @@
     return dict(value)
 
 
-class Frame:
-    """A message on its way out, and how much of it is left."""
+class Piece:
+    """A fragment of a message on its way out; the last one carries the message."""
 
-    def __init__(self, message, size_bytes):
-        """Start with the whole message left."""
-        self.message = message
+    def __init__(self, size_bytes, message):
+        """Start with the whole fragment left."""
         self.left_bytes = size_bytes
+        self.message = message
+
+    def __len__(self):
+        """Return the bytes that are left."""
+        return self.left_bytes
 
 
 class Uplink:
-    """Link of one instance: its connections take turns, each sends its messages in order.
+    """Link of one instance: its connections take turns, each sends as its queue decides.
 
     Parameters
     ----------
@@ -59,28 +66,46 @@
         self.rate = rate
         self.queues = {}
         self.sent_bytes = collections.Counter()
+        self._current = {}
 
-    def push(self, receiver_id, message, size_bytes):
+    def push(self, receiver_id, message, frame):
         """Queue a message for a peer."""
-        self.sent_bytes[type(message)] += size_bytes
-        self.queues.setdefault(receiver_id, collections.deque()).append(Frame(message, size_bytes))
+        kind = type(message)
+        self.sent_bytes[kind] += len(frame)
+        queue = self.queues.setdefault(receiver_id, send_queue.SendQueue())
+        is_bulk = kind.__name__ in const.BULK_TYPES
+        sizes = [len(piece) for piece in (fragments.split(frame) if is_bulk else [frame])]
+        carried = [*[None] * (len(sizes) - 1), message]
+        for size_bytes, carried_message in zip(sizes, carried, strict=True):
+            queue.push(Piece(size_bytes, carried_message), is_bulk=is_bulk)
 
     def clear(self, receiver_id):
         """Drop what is queued for a peer whose connection has ended."""
         self.queues.pop(receiver_id, None)
+        self._current.pop(receiver_id, None)
 
     def advance(self, duration_ms):
         """Send for some time; return the messages whose last byte was sent, with their receivers."""
         left_bytes = self.rate * duration_ms
         sent = []
         while self.queues and left_bytes > 0:
-            for receiver_id, queue in tuple(self.queues.items()):
-                frame = queue[0]
-                packet_bytes = min(PACKET_BYTES, frame.left_bytes)
-                frame.left_bytes -= packet_bytes
+            for receiver_id in tuple(self.queues):
+                packet_bytes, message = self._send_packet(receiver_id)
                 left_bytes -= packet_bytes
-                if frame.left_bytes <= 0:
-                    sent.append((receiver_id, queue.popleft().message))
-                if not queue:
-                    self.queues.pop(receiver_id)
+                if message is not None:
+                    sent.append((receiver_id, message))
         return sent
+
+    def _send_packet(self, receiver_id):
+        """Send a packet to a peer; return its size, and the message that it has completed."""
+        queue = self.queues[receiver_id]
+        piece = self._current.get(receiver_id) or queue.pop()
+        packet_bytes = min(PACKET_BYTES, piece.left_bytes)
+        piece.left_bytes -= packet_bytes
+        self._current[receiver_id] = piece
+        if piece.left_bytes:
+            return packet_bytes, None
+        self._current.pop(receiver_id)
+        if not queue:
+            self.queues.pop(receiver_id)
+        return packet_bytes, piece.message
--- a/tests/gateway/test_large_fleet.py
+++ b/tests/gateway/test_large_fleet.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from rhubarbspar.gateway import const
 from rhubarbspar.gateway import messages
+from tests.gateway import fleet_network
 from tests.gateway import large_fleet
 
 # Half of the time within which the operators want a change of a large fleet in force.
@@ -45,3 +47,34 @@
     most_sent = max(sent[each] - sent_before[each] for each in sent)
     # The link of a relay takes 1.5 MB in the time.
     assert most_sent < IN_FORCE_MS * large_fleet.narrow_rate('') / 4
+
+
+def relay_silence_ms(network, relay_ids):
+    """Return how long ago an instance has heard its relay, at most."""
+    return max(
+        network.now_ms - network.instances[child_id].state.fleet.peers[relay_id].last_heartbeat_ms
+        for child_id, relay_id in relay_ids.items()
+        if child_id != relay_id
+    )
+
+
+def test_heartbeats_overtake_changes_of_all_records():
+    """Guards against relays that seem dead while they send long changes, and are replaced."""
+    network = large_fleet.make_network(rate=large_fleet.narrow_rate)
+    large_fleet.write_configuration(network, 2, 1420)
+    network.run(SETTLE_MS)
+    relay_ids = {
+        instance_id: instance.state.fleet.relay_id
+        for instance_id, instance in network.instances.items()
+    }
+    network.restore(set())
+    network.run(SOON_MS)
+    written_ms = large_fleet.write_configuration(network, 3, 1420)
+    silence_ms = 0
+    for _ in range(SETTLE_MS // fleet_network.TICK_MS):
+        network.run(fleet_network.TICK_MS)
+        silence_ms = max(silence_ms, relay_silence_ms(network, relay_ids))
+    # Heartbeats are late by less than their interval.
+    assert silence_ms < 2 * const.HEARTBEAT_INTERVAL_MS
+    arrival = large_fleet.Arrival(network, 3, written_ms)
+    assert arrival.largest_ms <= IN_FORCE_MS, arrival
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -8,6 +8,7 @@
 
 from rhubarbspar.core import effects
 from rhubarbspar.core import events
+from rhubarbspar.peers import registry
 from rhubarbspar.peers import transport
 
 FLEET_KEY = b'test fleet key of thirty-two byte'
@@ -17,12 +18,19 @@
 class Node:
     """Transport that records its delivered events and reported effects."""
 
-    def __init__(self, instance_id: str, fleet_key: bytes) -> None:
+    def __init__(
+        self,
+        instance_id: str,
+        fleet_key: bytes,
+        message_types: registry.MessageTypes | None = None,
+    ) -> None:
         self.settings = transport.TransportSettings(instance_id, '1', '127.0.0.1', 0, fleet_key)
         self.events: list[events.Event] = []
         self.reported: list[effects.Effect] = []
         self.changed = asyncio.Event()
-        self.transport = transport.PeerTransport(self.settings, self._deliver, self._report)
+        self.transport = transport.PeerTransport(
+            self.settings, self._deliver, self._report, message_types
+        )
 
     @property
     def address(self) -> str:
@@ -57,8 +65,12 @@
 def make_node() -> abc.Callable[..., Node]:
     """Return a factory of nodes whose transport is not started yet."""
 
-    def factory(instance_id: str, fleet_key: bytes = FLEET_KEY) -> Node:
-        return Node(instance_id, fleet_key)
+    def factory(
+        instance_id: str,
+        fleet_key: bytes = FLEET_KEY,
+        message_types: registry.MessageTypes | None = None,
+    ) -> Node:
+        return Node(instance_id, fleet_key, message_types)
 
     return factory
 
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -1,6 +1,8 @@
 """Tests of the connections between instances, over local sockets."""
 
 import asyncio
+import functools
+import random
 import typing
 from collections import abc
 
@@ -12,8 +14,11 @@
 from rhubarbspar.components.routing import models as routing_models
 from rhubarbspar.core import effects
 from rhubarbspar.core import events
+from rhubarbspar.gateway import messages
 from rhubarbspar.peers import const
 from rhubarbspar.peers import handshake
+from rhubarbspar.peers import registry
+from rhubarbspar.peers import transport
 from tests.peers import conftest
 
 MakeNode = abc.Callable[..., typing.Any]
@@ -48,6 +53,29 @@
     await _stop(low, high)
 
 
+@pytest.mark.parametrize('is_earlier_release', [False, True])
+async def test_long_changes_and_short_messages_arrive_whole(
+    make_node: MakeNode, monkeypatch: pytest.MonkeyPatch, is_earlier_release: bool
+) -> None:
+    """Guards against heartbeats that wait for changes, and fragments that a peer cannot read."""
+    if is_earlier_release:
+        monkeypatch.setattr(transport, '_select_subprotocol', lambda *_: None)
+    types = registry.collect_message_types((messages,))
+    low, high = await _connect(functools.partial(make_node, message_types=types))
+    records = tuple(
+        messages.RelayedRecord(f'k{number}', number, random.Random(number).randbytes(200_000))
+        for number in range(3)
+    )
+    changes = messages.StoreNews(1, 9, records)
+    heartbeat = messages.Heartbeat('1', 1, store_reachable=False, leaving=False)
+    for message in (changes, heartbeat):
+        low.transport.apply(effects.SendMessage('b', message))
+    await high.until(lambda: len(high.events) == 3)
+    received = [events.MessageReceived('a', message) for message in (heartbeat, changes)]
+    assert high.events[1:] == received
+    await _stop(low, high)
+
+
 _UPGRADE = (
     b'GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n'
     b'Sec-WebSocket-Key: MTIzNDU2Nzg5MDEyMzQ1Ng==\r\nSec-WebSocket-Version: 13\r\n\r\n'
