Prefer instances with wide links as relays

The relay of a failure domain was chosen by hash alone, so most often one of the small instances: 6 Mbit/s and 0.43 of a core for 21 children, beside instances with 60 Mbit/s and 2.15 cores.

The platform names the rate of the link in the environment; the registration carries it, and the order of the relays puts wide links first, by doubling rates, so that equal machines keep their order by hash. An instance without a rate, such as one of an earlier release, comes last.

The limits of the machine that the environment names are read in one place. test_relays_have_wide_links failed before: no relay had a wide link.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -21,7 +21,7 @@
 from rhubarbspar.gateway import initial_state
 from rhubarbspar.gateway import listeners
 from rhubarbspar.gateway import log_stream
-from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import machine
 from rhubarbspar.gateway import process_usage
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import settings_wait
@@ -30,7 +30,6 @@
 from rhubarbspar.gateway import store_tasks
 from rhubarbspar.gateway import supervision
 from rhubarbspar.helpers import logs
-from rhubarbspar.peers import registry
 from rhubarbspar.peers import transport as peer_transport
 from rhubarbspar.platform import store
 from rhubarbspar.server import metrics
@@ -56,10 +55,8 @@
         Its present content.
     reactor
         The reactor that the process runs.
-    memory_mb
-        Memory that the process may use, megabytes as text; empty if it is unknown.
-    descriptor_count
-        File descriptors that the platform grants, as text; empty if it is unknown.
+    limits
+        Limits of the machine; unknown by default.
     """
 
     def __init__(
@@ -67,18 +64,17 @@
         settings_path: str,
         settings: gateway_settings.Settings,
         reactor: typing.Any,
-        memory_mb: str = '',
-        descriptor_count: str = '',
+        limits: machine.Machine = machine.UNKNOWN,
     ) -> None:
         """Create all parts without opening a socket."""
-        self._budget = initial_state.make_budget(memory_mb)
-        self._limits = initial_state.make_limits(descriptor_count)
+        self._budget = initial_state.make_budget(limits.memory_mb)
+        self._limits = initial_state.make_limits(limits.descriptor_count)
         self._settings = settings
         self._settings_watch = settings_watch.SettingsWatch(settings_path)
         self._reactor = reactor
         self._counters = metrics.Metrics(settings.instance_id)
         self._counters.add_gauges(process_usage.read_gauges)
-        self._member = initial_state.make_member(settings)
+        self._member = initial_state.make_member(settings, limits)
         store_limits = initial_state.make_store_limits(settings, self._budget)
         self._state = initial_state.create(settings, self._member, store_limits)
         process = effect_driver.Process(
@@ -87,7 +83,7 @@
             self._exit,
         )
         self._driver = effect_driver.Driver(self._state, clock_ms, self._counters, process)
-        self._memory_watch = process_usage.watch_memory(memory_mb, self._driver.report)
+        self._memory_watch = process_usage.watch_memory(limits.memory_mb, self._driver.report)
         deliver = self._driver.deliver
         self._callers = caller_requests.CallerRequests(deliver)
         self._backends = backend_client.BackendClient(
@@ -243,7 +239,7 @@
             initial_state.peer_settings(self._settings, self._member, key),
             self._driver.deliver,
             self._driver.report,
-            registry.collect_message_types((messages,)),
+            initial_state.peer_message_types(),
             self._listeners.release_peer_socket(),
             self._limits.handshakes,
         )
@@ -296,7 +292,7 @@
 _STOP_SIGNALS: typing.Final = (signal.SIGINT, signal.SIGTERM)
 
 
-def run(settings_path: str, memory_mb: str = '', descriptor_count: str = '') -> int:
+def run(settings_path: str) -> int:
     """Run a gateway until its planned stop has ended; return the exit code.
 
     It is 0, or ``EXIT_START_FAILED`` if a port could not be opened.
@@ -310,7 +306,7 @@
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
     reactor = importlib.import_module('twisted.internet.reactor')
-    daemon = Daemon(settings_path, settings, reactor, memory_mb, descriptor_count)
+    daemon = Daemon(settings_path, settings, reactor, machine.read())
     reactor.callWhenRunning(daemon.start)
     _handle_signals(loop, daemon)
     reactor.run(installSignalHandlers=False)
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -382,14 +382,17 @@
     def ranked_by_domain(self) -> dict[str, list[str]]:
         """Return the ids of the registered instances of each failure domain, preferred relay first.
 
-        The result is cached until the registrations change.
+        A relay sends all changes to each of its children, so those with wide links come first. The result is cached until the registrations change.
         """
         if not self.ranks:
             ids_by_domain: dict[str, list[str]] = {}
+            link_classes: dict[str, int] = {}
             for member in (self.own_member, *(peer.member for peer in self.peers.values())):
                 ids_by_domain.setdefault(member.failure_domain, []).append(member.instance_id)
+                link_classes[member.instance_id] = member.link_class
             for domain, ids in ids_by_domain.items():
-                self.ranks[domain] = rendezvous.rank(domain, ids)
+                ranked_ids = rendezvous.rank(domain, ids)
+                self.ranks[domain] = sorted(ranked_ids, key=link_classes.__getitem__, reverse=True)
         return self.ranks
 
     def _clear_orders(self) -> None:
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -6,7 +6,9 @@
 from rhubarbspar.gateway import budget
 from rhubarbspar.gateway import descriptor_limits
 from rhubarbspar.gateway import fleet
+from rhubarbspar.gateway import machine
 from rhubarbspar.gateway import memory_limits
+from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import record_table
 from rhubarbspar.gateway import rollout_schedule
@@ -17,6 +19,7 @@
 from rhubarbspar.gateway import store_replica
 from rhubarbspar.helpers import addresses
 from rhubarbspar.http1 import memory
+from rhubarbspar.peers import registry
 from rhubarbspar.peers import transport
 from rhubarbspar.platform import records
 
@@ -74,7 +77,7 @@
     return descriptor_limits.make_limits(platform_limit)
 
 
-def make_member(settings: gateway_settings.Settings) -> models.Member:
+def make_member(settings: gateway_settings.Settings, limits: machine.Machine) -> models.Member:
     """Return the registration of this instance under a new random incarnation."""
     return models.Member(
         settings.instance_id,
@@ -84,9 +87,15 @@
         settings.caller_address,
         settings.peer_address,
         settings.forward_address if settings.has_forward_port else '',
+        limits.link_rate_mbit_per_s,
     )
 
 
+def peer_message_types() -> registry.MessageTypes:
+    """Return the messages that gateways exchange, by type name."""
+    return registry.collect_message_types((messages,))
+
+
 def peer_settings(
     settings: gateway_settings.Settings, member: models.Member, fleet_key: bytes
 ) -> transport.TransportSettings:
--- a/rhubarbspar/gateway/models.py
+++ b/rhubarbspar/gateway/models.py
@@ -236,6 +236,8 @@
     forward_address
         Where it accepts attempts of peers that have lost their links to the backend servers;
         empty if it accepts none.
+    link_mbit_per_s
+        Rate of its network link, megabits a second; 0 if it is unknown.
     """
 
     instance_id: str
@@ -245,6 +247,12 @@
     caller_address: str
     peer_address: str
     forward_address: str = ''
+    link_mbit_per_s: int = 0
+
+    @property
+    def link_class(self) -> int:
+        """Return the order of magnitude of the link; the rate doubles from one to the next."""
+        return self.link_mbit_per_s.bit_length()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/program.py
+++ b/rhubarbspar/gateway/program.py
@@ -32,10 +32,6 @@
 import os
 import pathlib
 
-# File descriptors that the process may use.
-_ENV_DESCRIPTORS = 'GATEWAY_DESCRIPTORS'
-# Memory that the process may use, megabytes.
-_ENV_MEMORY_MB = 'GATEWAY_MEMORY_MB'
 _EXIT_START_FAILED = 1
 _EXIT_BAD_INPUT = 2
 _STANDARD_DESCRIPTORS = range(3)
@@ -59,9 +55,7 @@
             'target/deps of the repository\n'
         )
         return _EXIT_START_FAILED
-    memory_mb = os.environ.get(_ENV_MEMORY_MB, '')
-    descriptor_count = os.environ.get(_ENV_DESCRIPTORS, '')
-    return int(daemon.run(settings_path, memory_mb, descriptor_count))
+    return int(daemon.run(settings_path))
 
 
 def main() -> int:
--- a/rhubarbspar/platform/records.py
+++ b/rhubarbspar/platform/records.py
@@ -151,9 +151,10 @@
         for field in dataclasses.fields(models.Member)
         if field.default is not dataclasses.MISSING
     }
-    names = [field.name for field in dataclasses.fields(models.Member)]
+    names = [field.name for field in dataclasses.fields(models.Member) if field.type is str]
     found = {**defaults, **document}
-    return models.Member(**{name: _require_name(found[name]) for name in names})
+    texts = {name: _require_name(found[name]) for name in names}
+    return models.Member(**texts, link_mbit_per_s=_require_integer(found['link_mbit_per_s']))
 
 
 def _decode_configuration(_key: str, document: Document, _revision: int) -> models.Configuration:
--- a/tests/gateway/fleet_network.py
+++ b/tests/gateway/fleet_network.py
@@ -91,7 +91,16 @@
         """Start an instance, or a new incarnation of it, and register it."""
         incarnation = str(next(self._numbers))
         region = self._domains[domain]
-        member = models.Member(instance_id, incarnation, domain, region, f'{instance_id}:80', '')
+        rate = self.link_rate(instance_id) if self.link_rate else 0
+        member = models.Member(
+            instance_id,
+            incarnation,
+            domain,
+            region,
+            f'{instance_id}:80',
+            '',
+            link_mbit_per_s=links.mbit_per_s(rate),
+        )
         self.instances[instance_id] = Instance(member, self.now_ms, self._domains)
         self.instances[instance_id].records = self._decoded
         if self.link_rate:
--- a/tests/gateway/links.py
+++ b/tests/gateway/links.py
@@ -21,6 +21,11 @@
     return mbit_per_s * 1000 / 8
 
 
+def mbit_per_s(rate):
+    """Return bytes per millisecond as a rate in megabits a second."""
+    return round(rate * 8 / 1000)
+
+
 def encode_content(key, revision, record):
     """Return a content of a record that is about as long as the one in the store."""
     return json.dumps([key, revision, record], default=_plain).encode()
--- a/tests/gateway/test_large_fleet.py
+++ b/tests/gateway/test_large_fleet.py
@@ -6,6 +6,7 @@
 from rhubarbspar.gateway import messages
 from tests.gateway import fleet_network
 from tests.gateway import large_fleet
+from tests.gateway import links
 
 # Half of the time within which the operators want a change of a large fleet in force.
 IN_FORCE_MS = 2000
@@ -78,3 +79,16 @@
     assert silence_ms < 2 * const.HEARTBEAT_INTERVAL_MS
     arrival = large_fleet.Arrival(network, 3, written_ms)
     assert arrival.largest_ms <= IN_FORCE_MS, arrival
+
+
+@pytest.mark.parametrize('route_count', [20, 1420])
+def test_relays_have_wide_links(route_count):
+    """Guards against changes that wait for the link of a small instance with many children."""
+    network = large_fleet.make_network()
+    relay_ids = {instance.state.fleet.relay_id for instance in network.instances.values()}
+    rates = {network.link_rate(relay_id) for relay_id in relay_ids}
+    assert rates == {links.bytes_per_ms(large_fleet.WIDE_MBIT_PER_S)}
+    written_ms = large_fleet.write_configuration(network, 2, route_count)
+    network.run(SETTLE_MS)
+    arrival = large_fleet.Arrival(network, 2, written_ms)
+    assert arrival.largest_ms <= IN_FORCE_MS / 2, arrival
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -117,7 +117,9 @@
     status = models.RolloutStatus('huvo11a', 'v2', 'running', 12)
     content = records.encode_status(status)
     assert records.decode(records.rollout_status_key('huvo11a'), content, 12) == status
-    member = models.Member('front-1', 'a', 'almaty-a', 'almaty', '10.0.0.1:80', '10.0.0.1:81')
+    member = models.Member(
+        'front-1', 'a', 'almaty-a', 'almaty', '10.0.0.1:80', '10.0.0.1:81', link_mbit_per_s=60
+    )
     content = records.encode_member(member)
     assert records.decode(records.member_key('front-1'), content, 12) == member
 
