Acknowledge relayed changes, and send none again that are on their way

Changes that made no progress for a second were sent again on the same connection, where they waited behind the first copy: the fuller the link, the more was sent.

Changes that are not acknowledged for 4 s count as lost (a full queue); for a peer of an earlier release, which acknowledges nothing, the former clock remains.

test_changes_on_their_way_are_not_sent_again failed before: links that leave 2 Mbit/s, the store is restored with 1,400 routes more, and each child got the difference twice.

--- a/rhubarbspar/gateway/const.py
+++ b/rhubarbspar/gateway/const.py
@@ -33,9 +33,12 @@
 RELAY_CHANGE_MS: typing.Final = 2000
 # A peer that has lacked changes of the store for this long gets them from any other one.
 CHANGES_OVERDUE_MS: typing.Final = 1000
-# Changes that were sent to a peer are sent again if it makes no progress for this time. On a thin
-# link they take long to arrive, and repeating them would delay the rest.
+# Changes that were sent to a peer of an earlier release, which acknowledges none, are sent again if it
+# makes no progress for this time.
 CHANGES_RESENT_MS: typing.Final = 1000
+# Changes that a peer has not acknowledged for this long were lost, such as for a full queue. Until
+# then they are on their way: on a narrow link, repeating them would delay the rest.
+CHANGES_LOST_MS: typing.Final = 4000
 # An instance that is no relay watches the store if its region had no follower for this long.
 FOLLOWER_MISSING_MS: typing.Final = 1000
 # Interval of checks of peer connections and of the choice of instances that watch the store.
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -77,6 +77,8 @@
     sent_revision, unconfirmed_ms
         Store revision up to which this instance has sent the changes to the peer, and since when
         the peer has not confirmed it.
+    acknowledges, acknowledged_revision
+        Whether the peer acknowledges changes, and the revision that the last ones led to.
     store_reachable_since_ms
         Since when it has been reported, without a gap, to reach the store.
     complete_from
@@ -107,6 +109,8 @@
     revision_changed_ms: float = -math.inf
     sent_revision: int = 0
     unconfirmed_ms: float = -math.inf
+    acknowledges: bool = False
+    acknowledged_revision: int = 0
     leaving: bool = False
     store_reachable_since_ms: float = math.inf
     complete_from: int = 0
@@ -131,9 +135,7 @@
         self.live_ms = now_ms
         self.failed_dials = 0
         self.relay_id = heartbeat.relay_id or self.member.instance_id
-        if heartbeat.store_revision != self.store_revision:
-            self.store_revision = heartbeat.store_revision
-            self.revision_changed_ms = now_ms
+        self._record_revision(heartbeat.store_revision, now_ms)
         self.leaving = heartbeat.leaving
         self.links_lost = heartbeat.links_lost
         self.complete_from = heartbeat.complete_from
@@ -157,13 +159,25 @@
             self.unconfirmed_ms = now_ms
         self.sent_revision = revision
 
+    def record_acknowledgement(
+        self, acknowledgement: messages.ChangesReceived, now_ms: float
+    ) -> None:
+        """Note that changes have arrived."""
+        self.acknowledges = True
+        self.acknowledged_revision = acknowledgement.sent_revision
+        self._record_revision(acknowledgement.known_revision, now_ms)
+
+    def forget_sent_changes(self) -> None:
+        """Note that changes on their way were lost with the connection."""
+        self.sent_revision = 0
+        self.acknowledged_revision = 0
+
     def next_unsent_revision(self, now_ms: float) -> int:
         """Return the revision after which changes have to be sent to the peer.
 
         Changes on their way are left out, unless the peer has made no progress for too long.
         """
-        progress_ms = max(self.revision_changed_ms, self.unconfirmed_ms)
-        if now_ms - progress_ms < const.CHANGES_RESENT_MS:
+        if self._awaits_changes(now_ms):
             return max(self.store_revision, self.sent_revision)
         self.sent_revision = self.store_revision
         return self.store_revision
@@ -189,6 +203,20 @@
         interval_ms: float = const.REDIAL_INTERVAL_MS * 2**exponent
         return now_ms - self.dialled_ms >= interval_ms
 
+    def _awaits_changes(self, now_ms: float) -> bool:
+        """Return whether changes are on their way to the peer."""
+        waited_ms = now_ms - max(self.revision_changed_ms, self.unconfirmed_ms)
+        if not self.acknowledges:
+            return waited_ms < const.CHANGES_RESENT_MS
+        is_acknowledged = self.acknowledged_revision >= self.sent_revision
+        return not is_acknowledged and waited_ms < const.CHANGES_LOST_MS
+
+    def _record_revision(self, revision: int, now_ms: float) -> None:
+        """Note up to which store revision the peer knows all changes."""
+        if revision != self.store_revision:
+            self.store_revision = revision
+            self.revision_changed_ms = now_ms
+
 
 @dataclasses.dataclass(slots=True)
 class Fleet:
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/gossip.py
@@ -66,7 +66,7 @@
         return [log, core_effects.SendMessage(peer_id, heartbeat)]
     peer.connected = True
     peer.dialled_ms = now_ms
-    peer.sent_revision = 0
+    peer.forget_sent_changes()
     peer.relation = topology.current_relation(state.fleet, peer)
     crashes_known = _known_crashes(state, peer, now_ms)
     return [log, _full_heartbeat(state, peer, now_ms), *crashes_known]
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -200,6 +200,22 @@
     records: tuple[RelayedRecord, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangesReceived(GatewayMessage):
+    """Acknowledgement of relayed changes or a snapshot, whether they were applied or not.
+
+    Attributes
+    ----------
+    sent_revision
+        Store revision that they lead to.
+    known_revision
+        Store revision up to which the sender of the acknowledgement knows all changes.
+    """
+
+    sent_revision: int
+    known_revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashSeen(GatewayMessage):
     """A backend server crashed while it ran a request with this fingerprint.
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -128,9 +128,11 @@
         case core_events.MessageReceived(peer_id, messages.Heartbeat() as heartbeat):
             return gossip.receive_heartbeat(state, peer_id, heartbeat, now_ms)
         case core_events.MessageReceived(peer_id, messages.StoreNews() as relayed):
-            return store_relay.apply_relayed_changes(state, peer_id, relayed, now_ms)
+            return store_relay.receive_changes(state, peer_id, relayed, now_ms)
         case core_events.MessageReceived(peer_id, messages.StoreSnapshotPart() as part):
-            return store_relay.apply_relayed_snapshot(state, peer_id, part, now_ms)
+            return store_relay.receive_snapshot_part(state, peer_id, part, now_ms)
+        case core_events.MessageReceived(peer_id, messages.ChangesReceived() as received):
+            return store_relay.note_acknowledgement(state, peer_id, received, now_ms)
         case core_events.MessageReceived(peer_id, messages.CrashSeen() as crash):
             return gossip.note_crash(state, peer_id, crash, now_ms)
         case core_events.PeerConnected(peer_id):
--- a/rhubarbspar/gateway/store_relay.py
+++ b/rhubarbspar/gateway/store_relay.py
@@ -58,7 +58,49 @@
     state.replica.advance_with(known)
 
 
-def apply_relayed_changes(
+def note_acknowledgement(
+    state: gateway_state.State,
+    peer_id: str,
+    acknowledgement: messages.ChangesReceived,
+    now_ms: float,
+) -> list[core_effects.Effect]:
+    """Note that a peer has received changes; what it still lacks follows its next heartbeat."""
+    peer = state.fleet.peers.get(peer_id)
+    if peer is not None:
+        peer.record_acknowledgement(acknowledgement, now_ms)
+    return []
+
+
+def receive_changes(
+    state: gateway_state.State, peer_id: str, relayed: messages.StoreNews, now_ms: float
+) -> list[core_effects.Effect]:
+    """Apply store changes that a peer relays, and acknowledge them."""
+    applied = _apply_relayed_changes(state, peer_id, relayed, now_ms)
+    return [_acknowledge(state, peer_id, relayed.revision), *applied]
+
+
+def receive_snapshot_part(
+    state: gateway_state.State,
+    peer_id: str,
+    part: messages.StoreSnapshotPart,
+    now_ms: float,
+) -> list[core_effects.Effect]:
+    """Take a part of a snapshot from a peer; apply and acknowledge it with the last part."""
+    applied = _apply_relayed_snapshot(state, peer_id, part, now_ms)
+    if not part.is_last:
+        return applied
+    return [_acknowledge(state, peer_id, part.revision), *applied]
+
+
+def _acknowledge(
+    state: gateway_state.State, peer_id: str, sent_revision: int
+) -> core_effects.SendMessage:
+    """Return the effect that acknowledges changes; to be called once they are applied."""
+    received = messages.ChangesReceived(sent_revision, state.replica.revision)
+    return core_effects.SendMessage(peer_id, received)
+
+
+def _apply_relayed_changes(
     state: gateway_state.State, peer_id: str, relayed: messages.StoreNews, now_ms: float
 ) -> list[core_effects.Effect]:
     """Apply store changes that a peer relays, if they continue from the known revision."""
@@ -84,7 +126,7 @@
     return [core_effects.Log('news_relayed', log_fields), *passed_on, *applied]
 
 
-def apply_relayed_snapshot(
+def _apply_relayed_snapshot(
     state: gateway_state.State,
     peer_id: str,
     part: messages.StoreSnapshotPart,
--- a/tests/gateway/fleet_network.py
+++ b/tests/gateway/fleet_network.py
@@ -56,6 +56,8 @@
     ----------
     uplinks
         Links of the instances on which their messages wait, if they have rates.
+    sent_changes
+        How often each message with changes was sent to an instance.
     applied_ms
         When each instance put each version of the configuration in force.
     """
@@ -64,6 +66,7 @@
         """Create and register all instances; they have 3 s to connect."""
         self.link_rate = link_rate
         self.uplinks = {}
+        self.sent_changes = collections.Counter()
         self.applied_ms = collections.defaultdict(dict)
         self.now_ms = 1_000_000.0
         self.random = random.Random(seed)
@@ -274,6 +277,8 @@
         pair = frozenset((sender_id, receiver_id))
         self.instances[sender_id].message_count += 1
         is_change = isinstance(message, messages.StoreNews | messages.StoreSnapshotPart)
+        if is_change:
+            self.sent_changes[sender_id, receiver_id, message] += 1
         if is_change and receiver_id in self.without_changes:
             return
         if not self._is_up(pair):
--- a/tests/gateway/test_large_fleet.py
+++ b/tests/gateway/test_large_fleet.py
@@ -92,3 +92,18 @@
     network.run(SETTLE_MS)
     arrival = large_fleet.Arrival(network, 2, written_ms)
     assert arrival.largest_ms <= IN_FORCE_MS / 2, arrival
+
+
+def test_changes_on_their_way_are_not_sent_again():
+    """Guards against relays whose links are full of repeated changes.
+
+    The links leave 2 Mbit/s, and the changes take longer than the time after which those without an
+    acknowledgement are sent again.
+    """
+    network = large_fleet.make_network(rate=lambda _: links.bytes_per_ms(2))
+    large_fleet.write_configuration(network, 2, 1420)
+    network.run(2 * SETTLE_MS)
+    network.sent_changes.clear()
+    network.restore(set())
+    network.run(2 * SETTLE_MS)
+    assert max(network.sent_changes.values()) == 1
