Name the rate of the link to the instances of the soak

The instances of a soak now have narrow and wide links by name, so that registrations differ. The bytes that a change costs are printed by arrival_times.

--- a/tests/gateway/arrival_times.py
+++ b/tests/gateway/arrival_times.py
@@ -1,4 +1,4 @@
-"""Table of how long changes take to reach fleets of several sizes, calm and under trouble.
+"""Table of how long changes take to reach a fleet, calm and under trouble, and what they cost.
 
 ``python -m tests.gateway.arrival_times SIZE [SEED]`` simulates SIZE instances in each of nine failure
 domains, all with the narrowest link.
@@ -21,6 +21,11 @@
     return large_fleet.write_configuration(network, VERSION)
 
 
+def write_many_routes(network):
+    """Write it with 1,400 routes more."""
+    return large_fleet.write_configuration(network, VERSION, large_fleet.ROUTE_COUNT + 1400)
+
+
 def after_lost_history(network):
     """Write it just after the watching instances have read the store anew."""
     network.stop_watches()
@@ -74,6 +79,7 @@
 
 SCENARIOS = (
     write,
+    write_many_routes,
     after_lost_history,
     in_lost_history,
     after_restore,
@@ -84,21 +90,24 @@
 
 
 def measure(scenario, size, seed):
-    """Return how long the configuration takes to reach all instances."""
+    """Return how long the configuration takes to reach all instances, and the most sent bytes."""
     network = large_fleet.make_network(seed, size, large_fleet.narrow_rate)
     network.random = random.Random(seed)
+    sent_before = large_fleet.change_bytes(network)
     written_ms = scenario(network)
     network.run(SETTLE_MS)
-    return large_fleet.Arrival(network, VERSION, written_ms)
+    arrival = large_fleet.Arrival(network, VERSION, written_ms)
+    return arrival, large_fleet.most_sent_bytes(network, sent_before)
 
 
 def main():
-    """Print median, 99th percentile and largest time of each scenario."""
+    """Print median, 99th percentile and largest time, and what the busiest instance has sent."""
     size = int(sys.argv[1])
     seed = int(sys.argv[2]) if len(sys.argv) > 2 else 1
     for scenario in SCENARIOS:
-        arrival = measure(scenario, size, seed)
-        print(f'{size * 9} instances, {scenario.__name__}: {arrival}', flush=True)  # noqa: T201
+        arrival, sent_bytes = measure(scenario, size, seed)
+        measured = f'{arrival}, {sent_bytes} bytes'
+        print(f'{size * 9} instances, {scenario.__name__}: {measured}', flush=True)  # noqa: T201
 
 
 if __name__ == '__main__':
--- a/tests/gateway/large_fleet.py
+++ b/tests/gateway/large_fleet.py
@@ -2,6 +2,7 @@
 
 import statistics
 
+from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from tests.gateway import conftest
 from tests.gateway import fleet_network
@@ -70,6 +71,21 @@
     return network.now_ms
 
 
+def change_bytes(network):
+    """Return the bytes of changes that each instance has sent."""
+    kinds = (messages.StoreNews, messages.StoreSnapshotPart)
+    return {
+        instance_id: sum(uplink.sent_bytes[kind] for kind in kinds)
+        for instance_id, uplink in network.uplinks.items()
+    }
+
+
+def most_sent_bytes(network, sent_before):
+    """Return the most bytes of changes that a running instance has sent since then."""
+    sent = change_bytes(network)
+    return max(sent[each] - sent_before.get(each, 0) for each in sent)
+
+
 class Arrival:
     """How long after it was written a version was in force: median, 99th percentile, largest."""
 
--- a/tests/gateway/test_large_fleet.py
+++ b/tests/gateway/test_large_fleet.py
@@ -3,7 +3,6 @@
 import pytest
 
 from rhubarbspar.gateway import const
-from rhubarbspar.gateway import messages
 from tests.gateway import fleet_network
 from tests.gateway import large_fleet
 from tests.gateway import links
@@ -16,15 +15,6 @@
 SETTLE_MS = 5000
 
 
-def change_bytes(network):
-    """Return the bytes of changes that each instance has sent."""
-    kinds = (messages.StoreNews, messages.StoreSnapshotPart)
-    return {
-        instance_id: sum(uplink.sent_bytes[kind] for kind in kinds)
-        for instance_id, uplink in network.uplinks.items()
-    }
-
-
 @pytest.mark.parametrize('route_count', [20, 1420])
 def test_changes_after_lost_history_are_in_force_in_time(route_count):
     """Guards against relays that send all records again after each new read of the store.
@@ -34,7 +24,7 @@
     network = large_fleet.make_network(rate=large_fleet.narrow_rate)
     large_fleet.write_configuration(network, 2, route_count)
     network.run(SETTLE_MS)
-    sent_before = change_bytes(network)
+    sent_before = large_fleet.change_bytes(network)
     network.stop_watches()
     network.write('servers/i-0', None)
     network.run(SILENT_MS)
@@ -44,8 +34,7 @@
     network.run(SETTLE_MS)
     arrival = large_fleet.Arrival(network, 3, written_ms)
     assert arrival.largest_ms <= IN_FORCE_MS, arrival
-    sent = change_bytes(network)
-    most_sent = max(sent[each] - sent_before[each] for each in sent)
+    most_sent = large_fleet.most_sent_bytes(network, sent_before)
     # The link of a relay takes 1.5 MB in the time.
     assert most_sent < IN_FORCE_MS * large_fleet.narrow_rate('') / 4
 
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -21,6 +21,8 @@
 # Soaks that run at the same time use different loopback addresses, so that they never take each other's ports.
 HOST = f'127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.1'
 ROOT = pathlib.Path(__file__).parents[2]
+# Named to the instances only; their links are as fast as the machine.
+LINKS_MBIT_PER_S = (6, 60)
 DESCRIPTORS_MAX = 4100
 MEMORY_MB = 300
 _KB_PER_MB = 1024
@@ -234,7 +236,11 @@
                 'directory': addresses['directory'],
             },
             'internalPorts': [self.ports['peer'], self.ports['forward']],
-            'limits': {'maxFds': DESCRIPTORS_MAX, 'memoryMb': MEMORY_MB},
+            'limits': {
+                'linkMbps': LINKS_MBIT_PER_S[self.number % len(LINKS_MBIT_PER_S)],
+                'maxFds': DESCRIPTORS_MAX,
+                'memoryMb': MEMORY_MB,
+            },
             'provider': {'address': f'{proxy.HOST}:{self.store_link.port}'},
             'bounds': BOUNDS,
         }
