--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -19,9 +19,9 @@
 from rhubarbspar.gateway import driver as effect_driver
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import initial_state
+from rhubarbspar.gateway import instance_limits
 from rhubarbspar.gateway import listeners
 from rhubarbspar.gateway import log_stream
-from rhubarbspar.gateway import machine
 from rhubarbspar.gateway import process_usage
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import settings_wait
@@ -56,7 +56,7 @@
     reactor
         The reactor that the process runs.
     limits
-        Limits of the machine; unknown by default.
+        What the platform grants this instance; unknown by default.
     """
 
     def __init__(
@@ -64,7 +64,7 @@
         settings_path: str,
         settings: gateway_settings.Settings,
         reactor: typing.Any,
-        limits: machine.Machine = machine.UNKNOWN,
+        limits: instance_limits.InstanceLimits = instance_limits.UNKNOWN,
     ) -> None:
         """Create all parts without opening a socket."""
         self._budget = initial_state.make_budget(limits.memory_mb)
@@ -306,7 +306,7 @@
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
     reactor = importlib.import_module('twisted.internet.reactor')
-    daemon = Daemon(settings_path, settings, reactor, machine.read())
+    daemon = Daemon(settings_path, settings, reactor, instance_limits.read())
     reactor.callWhenRunning(daemon.start)
     _handle_signals(loop, daemon)
     reactor.run(installSignalHandlers=False)
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/fleet.py
@@ -410,7 +410,8 @@
     def ranked_by_domain(self) -> dict[str, list[str]]:
         """Return the ids of the registered instances of each failure domain, preferred relay first.
 
-        A relay sends all changes to each of its children, so those with wide links come first. The result is cached until the registrations change.
+        A relay sends all changes to each of its children, so those with wide links come first. The
+        result is cached until the registrations change.
         """
         if not self.ranks:
             ids_by_domain: dict[str, list[str]] = {}
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -6,7 +6,7 @@
 from rhubarbspar.gateway import budget
 from rhubarbspar.gateway import descriptor_limits
 from rhubarbspar.gateway import fleet
-from rhubarbspar.gateway import machine
+from rhubarbspar.gateway import instance_limits
 from rhubarbspar.gateway import memory_limits
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
@@ -77,7 +77,9 @@
     return descriptor_limits.make_limits(platform_limit)
 
 
-def make_member(settings: gateway_settings.Settings, limits: machine.Machine) -> models.Member:
+def make_member(
+    settings: gateway_settings.Settings, limits: instance_limits.InstanceLimits
+) -> models.Member:
     """Return the registration of this instance under a new random incarnation."""
     return models.Member(
         settings.instance_id,
--- a/rhubarbspar/gateway/machine.py
+++ b/rhubarbspar/gateway/instance_limits.py
@@ -1,4 +1,4 @@
-"""What the platform says of the machine of a process, in the variables of its environment."""
+"""What the platform grants an instance, in the variables of its environment."""
 
 import dataclasses
 import math
@@ -15,8 +15,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Machine:
-    """Limits of a machine as texts; empty if they are unknown."""
+class InstanceLimits:
+    """Limits as texts; empty if they are unknown."""
 
     memory_mb: str = ''
     descriptor_count: str = ''
@@ -32,12 +32,12 @@
         return math.ceil(rate) if 0 < rate < math.inf else 0
 
 
-UNKNOWN: typing.Final = Machine()
+UNKNOWN: typing.Final = InstanceLimits()
 
 
-def read(environment: abc.Mapping[str, str] = os.environ) -> Machine:
+def read(environment: abc.Mapping[str, str] = os.environ) -> InstanceLimits:
     """Return what the variables say."""
-    return Machine(
+    return InstanceLimits(
         environment.get(ENV_MEMORY_MB, ''),
         environment.get(ENV_DESCRIPTORS, ''),
         environment.get(ENV_LINK_MBIT_PER_S, ''),
