--- a/rhubarbspar/peers/fragments.py
+++ b/rhubarbspar/peers/fragments.py
@@ -42,10 +42,11 @@
         marker = received[:1]
         if marker not in {_MORE, _LAST}:
             return received
-        if len(self._received) + len(received) > const.FRAME_MAX_BYTES:
+        chunk = received[1:]
+        if len(self._received) + len(chunk) > const.FRAME_MAX_BYTES:
             self._received.clear()
             raise errors.FrameTooLargeError('the fragments are larger than a frame may be')
-        self._received += received[1:]
+        self._received += chunk
         if marker == _MORE:
             return None
         frame = bytes(self._received)
--- a/tests/peers/test_send_queue.py
+++ b/tests/peers/test_send_queue.py
@@ -7,7 +7,8 @@
 from rhubarbspar.peers import fragments
 from rhubarbspar.peers import send_queue
 
-FRAME = bytes(range(100, 200)) * 500
+FRAME = bytes(range(100, 200)) * (const.FRAME_MAX_BYTES // 100 + 1)
+FRAME = FRAME[: const.FRAME_MAX_BYTES]
 
 
 def test_short_frame_overtakes_the_fragments_of_a_long_one():
