Divide the modules of the gateway into folders

Cause: 60 modules lay in one folder, so a newcomer could not see which of them decide and which carry, and new parts had no place of their own.

Change: serving, routing, limits, membership, store and rollouts are packages now; the reducer, state, driver, messages and settings stay on top. Moves and imports only; the tests mirror the packages. The test against import cycles covers the packages as well, by full module names.

--- a/rhubarbspar/bench/gateway.py
+++ b/rhubarbspar/bench/gateway.py
@@ -8,15 +8,15 @@
 from rhubarbspar.bench import models
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.core import events as core_events
-from rhubarbspar.gateway import budget
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import fleet
+from rhubarbspar.gateway.limits import budget
+from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models as gateway_models
 from rhubarbspar.gateway import reducer
-from rhubarbspar.gateway import selection
+from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.peers import codec
 from rhubarbspar.peers import registry
--- a/rhubarbspar/gateway/driver.py
+++ b/rhubarbspar/gateway/driver.py
@@ -12,16 +12,16 @@
 from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.core import events as core_events
-from rhubarbspar.gateway import backend_client
-from rhubarbspar.gateway import caller_requests
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import log_stream
-from rhubarbspar.gateway import peer_forwards
 from rhubarbspar.gateway import reducer
+from rhubarbspar.gateway.serving import backend_client
+from rhubarbspar.gateway.serving import caller_requests
+from rhubarbspar.gateway.serving import peer_forwards
 from rhubarbspar.gateway import state as gateway_state
-from rhubarbspar.gateway import store_tasks
+from rhubarbspar.gateway.store import store_tasks
 from rhubarbspar.helpers import logs
 from rhubarbspar.server import metrics
 
--- /dev/null
+++ b/rhubarbspar/gateway/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas, budgets, rate limits, and limits of memory and descriptors."""
--- a/rhubarbspar/gateway/budget.py
+++ b/rhubarbspar/gateway/limits/budget.py
@@ -8,7 +8,7 @@
 import dataclasses
 import typing
 
-from rhubarbspar.gateway import fleet_size
+from rhubarbspar.gateway.limits import fleet_size
 from rhubarbspar.helpers import rendezvous
 
 # Shares of the permitted ratio and allowance that are spent; the rest covers requests in flight.
--- a/rhubarbspar/gateway/quotas.py
+++ b/rhubarbspar/gateway/limits/quotas.py
@@ -17,8 +17,8 @@
 from collections import abc
 
 from rhubarbspar import const as package_const
-from rhubarbspar.gateway import buckets
-from rhubarbspar.gateway import fleet_size
+from rhubarbspar.gateway.limits import buckets
+from rhubarbspar.gateway.limits import fleet_size
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 
--- a/rhubarbspar/gateway/server_limits.py
+++ b/rhubarbspar/gateway/limits/server_limits.py
@@ -9,10 +9,10 @@
 import typing
 
 from rhubarbspar.core import effects as core_effects
-from rhubarbspar.gateway import fleet
+from rhubarbspar.gateway.limits import rate_shares
+from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway import messages
-from rhubarbspar.gateway import rate_shares
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.routing import servers
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.helpers import rendezvous
 
--- /dev/null
+++ b/rhubarbspar/gateway/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet: its instances, the tree between them, and heartbeats."""
--- a/rhubarbspar/gateway/fleet.py
+++ b/rhubarbspar/gateway/membership/fleet.py
@@ -10,7 +10,7 @@
 import typing
 
 from rhubarbspar.gateway import const
-from rhubarbspar.gateway import fleet_size
+from rhubarbspar.gateway.limits import fleet_size
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 from rhubarbspar.helpers import rendezvous
--- a/rhubarbspar/gateway/gossip.py
+++ b/rhubarbspar/gateway/membership/gossip.py
@@ -10,20 +10,20 @@
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
-from rhubarbspar.gateway import crashes
 from rhubarbspar.gateway import effects
-from rhubarbspar.gateway import fleet
-from rhubarbspar.gateway import load_reports
+from rhubarbspar.gateway.limits import quotas
+from rhubarbspar.gateway.limits import server_limits
+from rhubarbspar.gateway.membership import fleet
+from rhubarbspar.gateway.membership import multicast
+from rhubarbspar.gateway.membership import topology
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import multicast
-from rhubarbspar.gateway import quotas
-from rhubarbspar.gateway import rollouts
-from rhubarbspar.gateway import server_limits
+from rhubarbspar.gateway.rollouts import rollouts
+from rhubarbspar.gateway.rollouts import version_exchange
+from rhubarbspar.gateway.routing import crashes
+from rhubarbspar.gateway.routing import load_reports
 from rhubarbspar.gateway import state as gateway_state
-from rhubarbspar.gateway import store_relay
-from rhubarbspar.gateway import topology
-from rhubarbspar.gateway import version_exchange
+from rhubarbspar.gateway.store import store_relay
 
 
 def receive_heartbeat(
--- a/rhubarbspar/gateway/topology.py
+++ b/rhubarbspar/gateway/membership/topology.py
@@ -10,7 +10,7 @@
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
-from rhubarbspar.gateway import fleet as gateway_fleet
+from rhubarbspar.gateway.membership import fleet as gateway_fleet
 
 
 def current_relation(
--- a/rhubarbspar/gateway/process_usage.py
+++ b/rhubarbspar/gateway/process_usage.py
@@ -8,7 +8,7 @@
 from collections import abc
 
 from rhubarbspar.core import effects
-from rhubarbspar.gateway import memory_limits
+from rhubarbspar.gateway.limits import memory_limits
 from rhubarbspar.server import metrics
 
 _STATUS: typing.Final = pathlib.Path('/proc/self/status')
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -3,19 +3,19 @@
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import const
-from rhubarbspar.gateway import crash_checks
-from rhubarbspar.gateway import dispatch
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import forwards
-from rhubarbspar.gateway import gossip
 from rhubarbspar.gateway import lifecycle
-from rhubarbspar.gateway import link_checks
+from rhubarbspar.gateway.limits import server_limits
+from rhubarbspar.gateway.membership import gossip
 from rhubarbspar.gateway import messages
-from rhubarbspar.gateway import server_limits
+from rhubarbspar.gateway.routing import crash_checks
+from rhubarbspar.gateway.routing import link_checks
+from rhubarbspar.gateway.serving import dispatch
+from rhubarbspar.gateway.serving import forwards
 from rhubarbspar.gateway import state as gateway_state
-from rhubarbspar.gateway import store_records
-from rhubarbspar.gateway import store_relay
+from rhubarbspar.gateway.store import store_records
+from rhubarbspar.gateway.store import store_relay
 
 
 def reduce(
--- /dev/null
+++ b/rhubarbspar/gateway/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts of versions, and the evidence on which they are judged."""
--- a/rhubarbspar/gateway/rollout_schedule.py
+++ b/rhubarbspar/gateway/rollouts/rollout_schedule.py
@@ -8,7 +8,7 @@
 import dataclasses
 import typing
 
-from rhubarbspar.gateway import canary_analysis
+from rhubarbspar.gateway.rollouts import canary_analysis
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/rollouts.py
+++ b/rhubarbspar/gateway/rollouts/rollouts.py
@@ -11,14 +11,14 @@
 import typing
 from collections import abc
 
-from rhubarbspar.gateway import canary_analysis
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import revisions
-from rhubarbspar.gateway import rollout_schedule
-from rhubarbspar.gateway import store_replica
-from rhubarbspar.gateway import version_evidence
+from rhubarbspar.gateway.rollouts import canary_analysis
+from rhubarbspar.gateway.rollouts import rollout_schedule
+from rhubarbspar.gateway.rollouts import version_evidence
+from rhubarbspar.gateway.store import revisions
+from rhubarbspar.gateway.store import store_replica
 
 # Stands for no version at all; no server has it.
 NO_VERSION: typing.Final = ''
--- a/rhubarbspar/gateway/version_evidence.py
+++ b/rhubarbspar/gateway/rollouts/version_evidence.py
@@ -6,9 +6,9 @@
 import dataclasses
 from collections import abc
 
-from rhubarbspar.gateway import canary_analysis
 from rhubarbspar.gateway import messages
-from rhubarbspar.gateway import version_sums
+from rhubarbspar.gateway.rollouts import canary_analysis
+from rhubarbspar.gateway.rollouts import version_sums
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/affinity.py
+++ b/rhubarbspar/gateway/routing/affinity.py
@@ -16,8 +16,8 @@
 import typing
 from collections import abc
 
-from rhubarbspar.gateway import servers
-from rhubarbspar.gateway import traffic_shifts
+from rhubarbspar.gateway.routing import servers
+from rhubarbspar.gateway.routing import traffic_shifts
 from rhubarbspar.helpers import rendezvous
 
 # Gain of a server to which this instance has sent a request for the object within ``RECENT_MS``.
--- a/rhubarbspar/gateway/groups.py
+++ b/rhubarbspar/gateway/routing/groups.py
@@ -10,9 +10,9 @@
 import typing
 from collections import abc
 
-from rhubarbspar.gateway import affinity
-from rhubarbspar.gateway import selection
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.routing import affinity
+from rhubarbspar.gateway.routing import selection
+from rhubarbspar.gateway.routing import servers
 
 # Up to this group size all servers are compared; the choice costs some microseconds a server.
 COMPARE_ALL_MAX: typing.Final = 24
--- a/rhubarbspar/gateway/link_checks.py
+++ b/rhubarbspar/gateway/routing/link_checks.py
@@ -10,9 +10,9 @@
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import gossip
-from rhubarbspar.gateway import server_links
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.membership import gossip
+from rhubarbspar.gateway.routing import server_links
+from rhubarbspar.gateway.routing import servers
 from rhubarbspar.gateway import state as gateway_state
 
 # A server is taken to be alive for this long after it has answered another instance.
--- a/rhubarbspar/gateway/load_reports.py
+++ b/rhubarbspar/gateway/routing/load_reports.py
@@ -9,7 +9,7 @@
 from collections import abc
 
 from rhubarbspar.gateway import messages
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.routing import servers
 
 # Load reports in one heartbeat; the newest ones are sent.
 REPORTS_MAX: typing.Final = 500
--- a/rhubarbspar/gateway/placement.py
+++ b/rhubarbspar/gateway/routing/placement.py
@@ -8,12 +8,12 @@
 import typing
 from collections import abc
 
-from rhubarbspar.gateway import affinity
-from rhubarbspar.gateway import groups
-from rhubarbspar.gateway import overload
-from rhubarbspar.gateway import processing_times
-from rhubarbspar.gateway import selection
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.routing import affinity
+from rhubarbspar.gateway.routing import groups
+from rhubarbspar.gateway.routing import overload
+from rhubarbspar.gateway.routing import processing_times
+from rhubarbspar.gateway.routing import selection
+from rhubarbspar.gateway.routing import servers
 from rhubarbspar.gateway import state as gateway_state
 
 # A queue that has made a request miss its deadline is expected to stand for this long.
--- a/rhubarbspar/gateway/processing_times.py
+++ b/rhubarbspar/gateway/routing/processing_times.py
@@ -3,7 +3,7 @@
 import typing
 
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import selection
+from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway import state as gateway_state
 
 # Processing time of a route before any response, as a multiple of its latency objective.
--- a/rhubarbspar/gateway/selection.py
+++ b/rhubarbspar/gateway/routing/selection.py
@@ -10,8 +10,8 @@
 import typing
 from collections import abc
 
-from rhubarbspar.gateway import affinity
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.routing import affinity
+from rhubarbspar.gateway.routing import servers
 
 # Requests in different slots slow each other: added share of the processing time with all slots
 # taken.
--- a/rhubarbspar/gateway/server_notices.py
+++ b/rhubarbspar/gateway/routing/server_notices.py
@@ -6,7 +6,7 @@
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.routing import servers
 from rhubarbspar.gateway import state as gateway_state
 
 
--- a/rhubarbspar/gateway/servers.py
+++ b/rhubarbspar/gateway/routing/servers.py
@@ -9,9 +9,9 @@
 import typing
 
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway.limits import rate_shares
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import overload as server_overload
-from rhubarbspar.gateway import rate_shares
+from rhubarbspar.gateway.routing import overload as server_overload
 
 # A failed server is ejected for this time, doubled with each consecutive ejection.
 EJECTION_MIN_MS: typing.Final = 500
--- /dev/null
+++ b/rhubarbspar/gateway/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: admission, attempts at backend servers, and responses."""
--- a/rhubarbspar/gateway/backend_client.py
+++ b/rhubarbspar/gateway/serving/backend_client.py
@@ -6,8 +6,8 @@
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import forward_protocol
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway.serving import forward_protocol
 from rhubarbspar.helpers import addresses
 from rhubarbspar.http1 import client
 from rhubarbspar.http1 import descriptors
--- a/rhubarbspar/gateway/dispatch.py
+++ b/rhubarbspar/gateway/serving/dispatch.py
@@ -7,20 +7,20 @@
 
 from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
-from rhubarbspar.gateway import admission
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import forwarders
+from rhubarbspar.gateway.limits import server_limits
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import outcomes
-from rhubarbspar.gateway import placement
-from rhubarbspar.gateway import responses
-from rhubarbspar.gateway import retries
-from rhubarbspar.gateway import selection
-from rhubarbspar.gateway import server_limits
+from rhubarbspar.gateway.rollouts import version_results
+from rhubarbspar.gateway.routing import placement
+from rhubarbspar.gateway.routing import selection
+from rhubarbspar.gateway.serving import admission
+from rhubarbspar.gateway.serving import forwarders
+from rhubarbspar.gateway.serving import outcomes
+from rhubarbspar.gateway.serving import responses
+from rhubarbspar.gateway.serving import retries
 from rhubarbspar.gateway import state as gateway_state
-from rhubarbspar.gateway import version_results
 
 # Results of attempts that neither the server nor the way to it has failed.
 _NOT_AT_SERVER: typing.Final = frozenset(
--- a/rhubarbspar/gateway/forwarders.py
+++ b/rhubarbspar/gateway/serving/forwarders.py
@@ -6,7 +6,7 @@
 
 import typing
 
-from rhubarbspar.gateway import fleet as gateway_fleet
+from rhubarbspar.gateway.membership import fleet as gateway_fleet
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import state as gateway_state
 
--- a/rhubarbspar/gateway/outcomes.py
+++ b/rhubarbspar/gateway/serving/outcomes.py
@@ -4,16 +4,16 @@
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
-from rhubarbspar.gateway import crash_checks
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import link_checks
-from rhubarbspar.gateway import load_reports
-from rhubarbspar.gateway import processing_times
-from rhubarbspar.gateway import server_limits
-from rhubarbspar.gateway import server_notices
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.limits import server_limits
+from rhubarbspar.gateway.rollouts import version_results
+from rhubarbspar.gateway.routing import crash_checks
+from rhubarbspar.gateway.routing import link_checks
+from rhubarbspar.gateway.routing import load_reports
+from rhubarbspar.gateway.routing import processing_times
+from rhubarbspar.gateway.routing import server_notices
+from rhubarbspar.gateway.routing import servers
 from rhubarbspar.gateway import state as gateway_state
-from rhubarbspar.gateway import version_results
 
 # Results of a connection that could not be opened or has failed.
 _CONNECTION_FAILURES: typing.Final = frozenset(
--- a/rhubarbspar/gateway/peer_forwards.py
+++ b/rhubarbspar/gateway/serving/peer_forwards.py
@@ -5,8 +5,8 @@
 
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import forward_protocol
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway.serving import forward_protocol
 from rhubarbspar.http1 import messages
 from rhubarbspar.http1 import server
 from rhubarbspar.platform import requests
--- a/rhubarbspar/gateway/responses.py
+++ b/rhubarbspar/gateway/serving/responses.py
@@ -5,13 +5,13 @@
 
 from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
-from rhubarbspar.gateway import admission
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import processing_times
-from rhubarbspar.gateway import selection
+from rhubarbspar.gateway.routing import processing_times
+from rhubarbspar.gateway.routing import selection
+from rhubarbspar.gateway.serving import admission
 from rhubarbspar.gateway import state as gateway_state
 
 # Share of the processing time after which a full server is expected to have a free slot.
--- a/rhubarbspar/gateway/retries.py
+++ b/rhubarbspar/gateway/serving/retries.py
@@ -2,10 +2,10 @@
 
 import typing
 
-from rhubarbspar.gateway import admission
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import processing_times
-from rhubarbspar.gateway import selection
+from rhubarbspar.gateway.routing import processing_times
+from rhubarbspar.gateway.routing import selection
+from rhubarbspar.gateway.serving import admission
 from rhubarbspar.gateway import state as gateway_state
 
 # Servers to which one request may be sent, including those that did not run it. ``attempts_max`` of
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -5,24 +5,24 @@
 import typing
 from collections import abc
 
-from rhubarbspar.gateway import affinity
-from rhubarbspar.gateway import budget as retry_budget
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import crashes as poison_requests
-from rhubarbspar.gateway import fleet as gateway_fleet
-from rhubarbspar.gateway import groups as server_groups
-from rhubarbspar.gateway import load_reports as server_loads
+from rhubarbspar.gateway.limits import budget as retry_budget
+from rhubarbspar.gateway.limits import quotas as account_quotas
+from rhubarbspar.gateway.membership import fleet as gateway_fleet
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import quotas as account_quotas
-from rhubarbspar.gateway import rollouts as rollout_state
-from rhubarbspar.gateway import selection
-from rhubarbspar.gateway import server_links
-from rhubarbspar.gateway import servers as server_views
-from rhubarbspar.gateway import store_replica
-from rhubarbspar.gateway import traffic_shifts
-from rhubarbspar.gateway import version_evidence
+from rhubarbspar.gateway.rollouts import rollouts as rollout_state
+from rhubarbspar.gateway.rollouts import version_evidence
+from rhubarbspar.gateway.routing import affinity
+from rhubarbspar.gateway.routing import crashes as poison_requests
+from rhubarbspar.gateway.routing import groups as server_groups
+from rhubarbspar.gateway.routing import load_reports as server_loads
+from rhubarbspar.gateway.routing import selection
+from rhubarbspar.gateway.routing import server_links
+from rhubarbspar.gateway.routing import servers as server_views
+from rhubarbspar.gateway.routing import traffic_shifts
+from rhubarbspar.gateway.store import store_replica
 
 Record: typing.TypeAlias = (
     models.Configuration
--- a/rhubarbspar/gateway/store_records.py
+++ b/rhubarbspar/gateway/store/store_records.py
@@ -3,14 +3,14 @@
 import dataclasses
 import typing
 
-from rhubarbspar import exceptions
 from rhubarbspar.core import effects as core_effects
-from rhubarbspar.gateway import crash_checks
+from rhubarbspar import exceptions
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway.limits import server_limits
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import server_limits
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.routing import crash_checks
+from rhubarbspar.gateway.routing import servers
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.helpers import rendezvous
 
--- a/rhubarbspar/gateway/store_relay.py
+++ b/rhubarbspar/gateway/store/store_relay.py
@@ -7,16 +7,16 @@
 import typing
 
 from rhubarbspar.core import effects as core_effects
-from rhubarbspar.gateway import change_history
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import fleet
+from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import state as gateway_state
-from rhubarbspar.gateway import store_batches
-from rhubarbspar.gateway import store_records
-from rhubarbspar.gateway import store_replica
+from rhubarbspar.gateway.store import change_history
+from rhubarbspar.gateway.store import store_batches
+from rhubarbspar.gateway.store import store_records
+from rhubarbspar.gateway.store import store_replica
 
 # Contents of the changes in one message, which has to fit into a frame.
 BATCH_MAX_BYTES: typing.Final = 524_288
--- a/rhubarbspar/gateway/store_replica.py
+++ b/rhubarbspar/gateway/store/store_replica.py
@@ -8,11 +8,11 @@
 import operator
 import typing
 
-from rhubarbspar.gateway import change_history
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import record_table
-from rhubarbspar.gateway import revisions
-from rhubarbspar.gateway import store_batches
+from rhubarbspar.gateway.store import change_history
+from rhubarbspar.gateway.store import record_table
+from rhubarbspar.gateway.store import revisions
+from rhubarbspar.gateway.store import store_batches
 
 # Deleted keys are kept as tombstones, up to this number, to relay the deletion to peers without
 # contact to the store.
--- a/rhubarbspar/gateway/store_tasks.py
+++ b/rhubarbspar/gateway/store/store_tasks.py
@@ -12,7 +12,7 @@
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway.store import revisions
 from rhubarbspar.platform import const as platform_const
 from rhubarbspar.platform import errors
 from rhubarbspar.platform import records
--- a/rhubarbspar/platform/answers.py
+++ b/rhubarbspar/platform/answers.py
@@ -11,7 +11,7 @@
 from collections import abc
 
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway.store import revisions
 from rhubarbspar.http1 import messages
 from rhubarbspar.platform import const
 from rhubarbspar.platform import errors
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -10,8 +10,8 @@
 
 from rhubarbspar import const as package_const
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import memory_limits
-from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway.limits import memory_limits
+from rhubarbspar.gateway.store import revisions
 from rhubarbspar.helpers import addresses
 from rhubarbspar.helpers import durations
 from rhubarbspar.http1 import bodies
--- a/tests/gateway/fleet_network.py
+++ b/tests/gateway/fleet_network.py
@@ -9,10 +9,10 @@
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import fleet as gateway_fleet
+from rhubarbspar.gateway.membership import fleet as gateway_fleet
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway.store import revisions
 from tests.gateway import conftest
 from tests.gateway import links
 
--- a/tests/gateway/test_buckets.py
+++ b/tests/gateway/limits/test_buckets.py
@@ -1,6 +1,6 @@
 """Token bucket of one account at one instance."""
 
-from rhubarbspar.gateway import buckets
+from rhubarbspar.gateway.limits import buckets
 
 RATE_PER_S = 10.0
 DIVISION = buckets.Division(0.1)
--- a/tests/gateway/test_descriptor_limits.py
+++ b/tests/gateway/limits/test_descriptor_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rhubarbspar.gateway import descriptor_limits
+from rhubarbspar.gateway.limits import descriptor_limits
 
 # Standard streams, event loop, reserve of the reactor and listening sockets.
 OWN_DESCRIPTORS = 20
--- a/tests/gateway/test_fleet_size.py
+++ b/tests/gateway/limits/test_fleet_size.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from rhubarbspar.gateway import budget
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import fleet_size
+from rhubarbspar.gateway.limits import budget
+from rhubarbspar.gateway.limits import fleet_size
+from rhubarbspar.gateway.limits import quotas
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import quotas
 from tests.gateway import conftest
 
 INSTANCES = 69
--- a/tests/gateway/test_memory_limits.py
+++ b/tests/gateway/limits/test_memory_limits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rhubarbspar.gateway import memory_limits
+from rhubarbspar.gateway.limits import memory_limits
 
 MB = 1_048_576
 # Memory of a gateway without requests.
--- a/tests/gateway/test_rollout_schedule.py
+++ b/tests/gateway/rollouts/test_rollout_schedule.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from rhubarbspar.gateway import canary_analysis
-from rhubarbspar.gateway import rollout_schedule
+from rhubarbspar.gateway.rollouts import canary_analysis
+from rhubarbspar.gateway.rollouts import rollout_schedule
 
 DURATION_MS = 12_000
 LIMITS = rollout_schedule.ExposureLimits(0.1, 50)
--- a/tests/gateway/test_affinity.py
+++ b/tests/gateway/routing/test_affinity.py
@@ -1,7 +1,7 @@
 """Which servers are expected to have an object cached."""
 
-from rhubarbspar.gateway import affinity
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.routing import affinity
+from rhubarbspar.gateway.routing import servers
 from tests.gateway import conftest
 
 
--- a/tests/gateway/test_groups.py
+++ b/tests/gateway/routing/test_groups.py
@@ -1,9 +1,9 @@
 """Groups of servers from which the server of a request is chosen."""
 
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import groups
-from rhubarbspar.gateway import selection
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.routing import groups
+from rhubarbspar.gateway.routing import selection
+from rhubarbspar.gateway.routing import servers
 from tests.gateway import conftest
 
 LARGE = 120
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/routing/test_overload.py
@@ -1,6 +1,6 @@
 """Early refusal of requests while a server is overloaded."""
 
-from rhubarbspar.gateway import overload
+from rhubarbspar.gateway.routing import overload
 
 LATE = overload.ExpectedTimes(500, 300, 600)
 ON_TIME = overload.ExpectedTimes(200, 300, 600)
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/routing/test_selection.py
@@ -1,7 +1,7 @@
 """Choice of the backend server for a request among the candidates."""
 
-from rhubarbspar.gateway import selection
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.routing import selection
+from rhubarbspar.gateway.routing import servers
 from tests.gateway import conftest
 
 
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/routing/test_servers.py
@@ -5,7 +5,7 @@
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import servers
+from rhubarbspar.gateway.routing import servers
 from tests.gateway import conftest
 
 
--- a/tests/gateway/test_traffic_shifts.py
+++ b/tests/gateway/routing/test_traffic_shifts.py
@@ -1,6 +1,6 @@
 """Limits on how fast requests shift from one region to another."""
 
-from rhubarbspar.gateway import traffic_shifts
+from rhubarbspar.gateway.routing import traffic_shifts
 
 
 def send(shares, regions, start_ms, count=400):
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/serving/test_directory.py
@@ -3,9 +3,9 @@
 import pytest
 
 from rhubarbspar.core import events as core_events
-from rhubarbspar.gateway import directory
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway.serving import directory
 
 
 def add_peer(gateway, instance_id, failure_domain, **fields):
--- a/tests/gateway/test_forwards.py
+++ b/tests/gateway/serving/test_forwards.py
@@ -8,10 +8,10 @@
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import forward_protocol
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import peer_forwards
+from rhubarbspar.gateway.serving import forward_protocol
+from rhubarbspar.gateway.serving import peer_forwards
 from rhubarbspar.http1 import messages as http_messages
 from tests.gateway import conftest
 
--- a/tests/gateway/test_outcomes.py
+++ b/tests/gateway/serving/test_outcomes.py
@@ -3,7 +3,7 @@
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import processing_times
+from rhubarbspar.gateway.routing import processing_times
 from tests.gateway import conftest
 
 
--- a/tests/gateway/test_revisions.py
+++ b/tests/gateway/store/test_revisions.py
@@ -1,6 +1,6 @@
 """Revisions across the restores of the store."""
 
-from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway.store import revisions
 
 
 def test_revision_of_a_later_era_is_newer():
--- a/tests/gateway/test_store_relay.py
+++ b/tests/gateway/store/test_store_relay.py
@@ -7,7 +7,7 @@
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import messages
-from rhubarbspar.gateway import store_replica
+from rhubarbspar.gateway.store import store_replica
 from tests.gateway import conftest
 from tests.gateway import fleet_network
 
--- a/tests/gateway/test_store_replica.py
+++ b/tests/gateway/store/test_store_replica.py
@@ -8,8 +8,8 @@
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import record_table
-from rhubarbspar.gateway import store_replica
+from rhubarbspar.gateway.store import record_table
+from rhubarbspar.gateway.store import store_replica
 from rhubarbspar.peers import codec
 from rhubarbspar.peers import registry
 from rhubarbspar.platform import errors
--- a/tests/gateway/test_store_tasks.py
+++ b/tests/gateway/store/test_store_tasks.py
@@ -5,7 +5,7 @@
 from twisted.internet import task
 
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import store_tasks
+from rhubarbspar.gateway.store import store_tasks
 
 MEMBER = models.Member('front-1', 'a', 'almaty-a', 'almaty', '10.0.0.1:80', '10.0.0.1:81')
 LEASE = 7
--- a/tests/gateway/test_endless_servers.py
+++ b/tests/gateway/test_endless_servers.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 from twisted.internet import protocol
 
-from rhubarbspar.gateway import budget
+from rhubarbspar.gateway.limits import budget
 from tests.gateway import deployment as gateway_deployment
 
 BUDGET_BYTES = 16_000_000
--- a/tests/gateway/test_imports.py
+++ b/tests/gateway/test_imports.py
@@ -7,6 +7,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).parents[2]
+PACKAGE = 'rhubarbspar.gateway'
 PROBE = """
 import sys
 for absent in ('OpenSSL', 'cryptography', 'service_identity', 'treq'):
@@ -35,18 +36,23 @@
     assert deployed < pinned(ROOT / 'requirements.txt')
 
 
+def module_name(path):
+    """Return the name under which a module is imported."""
+    return '.'.join(path.relative_to(ROOT).with_suffix('').parts)
+
+
 def imported_modules(path):
     """Return the names of the modules of the gateway that one of them imports."""
     return {
-        alias.name
+        f'{node.module}.{alias.name}'
         for node in ast.walk(ast.parse(path.read_text()))
-        if isinstance(node, ast.ImportFrom) and node.module == 'rhubarbspar.gateway'
+        if isinstance(node, ast.ImportFrom) and (node.module or '').startswith(PACKAGE)
         for alias in node.names
     }
 
 
 def test_modules_do_not_import_each_other_in_a_circle():
     """Guards against modules that only work when they are imported in a certain order."""
-    modules = (ROOT / 'rhubarbspar' / 'gateway').glob('*.py')
-    graph = {path.stem: imported_modules(path) for path in modules}
+    modules = (ROOT / 'rhubarbspar' / 'gateway').rglob('*.py')
+    graph = {module_name(path): imported_modules(path) for path in modules}
     graphlib.TopologicalSorter(graph).prepare()
--- a/tests/gateway/test_replica_claims.py
+++ b/tests/gateway/test_replica_claims.py
@@ -4,10 +4,10 @@
 import pytest
 from hypothesis import strategies
 
-from rhubarbspar.gateway import change_history
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway import store_batches
-from rhubarbspar.gateway import store_replica
+from rhubarbspar.gateway.store import change_history
+from rhubarbspar.gateway.store import store_batches
+from rhubarbspar.gateway.store import store_replica
 
 KEYS = ('servers/a', 'servers/b', 'servers/c')
 REPLICA_COUNT = 3
--- a/tests/gateway/test_rollout_evidence.py
+++ b/tests/gateway/test_rollout_evidence.py
@@ -7,13 +7,13 @@
 import pytest
 
 from rhubarbspar.core import events as core_events
-from rhubarbspar.gateway import canary_analysis
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import revisions
+from rhubarbspar.gateway.rollouts import canary_analysis
+from rhubarbspar.gateway.store import revisions
 from tests.gateway import conftest
 from tests.gateway import fleet_network
 
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -6,11 +6,11 @@
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway import revisions
-from rhubarbspar.gateway import store_replica
+from rhubarbspar.gateway.store import revisions
+from rhubarbspar.gateway.store import store_replica
 from tests.gateway import conftest
 from tests.gateway import fleet_network
-from tests.gateway import test_rollouts
+from tests.gateway.rollouts import test_rollouts
 
 
 def restore(gateway, lost_keys=()):
--- a/tests/gateway/test_tree.py
+++ b/tests/gateway/test_tree.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from rhubarbspar.gateway import directory
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway.serving import directory
 from tests.gateway import conftest
 from tests.gateway import fleet_network
 
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rhubarbspar.gateway import memory_limits
+from rhubarbspar.gateway.limits import memory_limits
 from rhubarbspar.gateway import settings
 from rhubarbspar.platform import store as platform_store
 from tests.platform import standin
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from rhubarbspar.gateway import revisions
 from rhubarbspar.gateway import settings
+from rhubarbspar.gateway.store import revisions
 from rhubarbspar.http1 import memory
 from rhubarbspar.platform import errors
 from rhubarbspar.platform import store
