Read the load of servers that report more than three figures

Cause: a load report of four figures (running, waiting, slots, slowness) was dropped as malformed, so at deployments of that form no server's load was known.

Change: the first three figures are read and further ones are ignored.

--- a/rhubarbspar/platform/requests.py
+++ b/rhubarbspar/platform/requests.py
@@ -22,7 +22,8 @@
         const.HEADER_EXPECTED_SERVER,
     )
 )
-_LOAD_REPORT_FIELDS = 3
+# Running and waiting requests, and slots. Deployments may add further figures after them.
+_LOAD_REPORT_FIELDS: typing.Final = 3
 # Longer counts cannot be sent to peers.
 _COUNT_DIGITS_MAX: typing.Final = 9
 _RETRY_AFTER_DECIMALS = 3
@@ -90,14 +91,18 @@
 
 
 def decode_load_report(response: messages.Response) -> events.LoadReport | None:
-    """Return the load that a response reports, or ``None`` if it is absent or malformed."""
+    """Return the load that a response reports, or ``None`` if it is absent or malformed.
+
+    Figures after the known ones are ignored.
+    """
     raw = messages.find_header(response.headers, const.HEADER_LOAD)
-    parts = [] if raw is None else raw.split(b',')
-    if len(parts) != _LOAD_REPORT_FIELDS:
+    parts = [] if raw is None else raw.split(b',', _LOAD_REPORT_FIELDS)
+    counts = parts[:_LOAD_REPORT_FIELDS]
+    if len(counts) != _LOAD_REPORT_FIELDS:
         return None
-    if not all(part.strip().isdigit() and len(part) <= _COUNT_DIGITS_MAX for part in parts):
+    if not all(part.strip().isdigit() and len(part) <= _COUNT_DIGITS_MAX for part in counts):
         return None
-    running, waiting, slots = (int(part) for part in parts)
+    running, waiting, slots = (int(part) for part in counts)
     return events.LoadReport(running, waiting, slots)
 
 
