Use the slowness that servers report while it is fresh

Cause: the fourth figure of a load report says how long work takes at the server now. It was not used, and an average over responses follows it too late.

Change: the estimate of the processing time at a server takes the last slowness that the server reported to this instance, with a weight that falls with its age (time constant 100 ms, including the round trip). It is not passed to peers.

--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -61,11 +61,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """The number of requests that a backend server reports with a response."""
+    """What a backend server reports of its load with a response.
+
+    Attributes
+    ----------
+    slowness
+        How long work takes at the server now, as a multiple of the usual time; ``None`` if the
+        server does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/rollouts/version_results.py
+++ b/rhubarbspar/gateway/rollouts/version_results.py
@@ -33,7 +33,7 @@
 
     The servers of a slow version are soon expected to be slow.
     """
-    return choice.expected_ms / max(1.0, choice.view.slowdown)
+    return choice.expected_ms / max(1.0, choice.time_factor)
 
 
 def count_late_attempts(state: gateway_state.State, now_ms: float) -> None:
--- a/rhubarbspar/gateway/routing/selection.py
+++ b/rhubarbspar/gateway/routing/selection.py
@@ -74,6 +74,8 @@
         Share of the processing time that the server is expected to save.
     load
         Estimated number of requests at the server.
+    time_factor
+        Expected processing time at the server, as a multiple of the typical one.
     place
         Why the server is expected to have the object cached.
     """
@@ -84,6 +86,7 @@
     cost_ms: float
     gain: float
     load: float
+    time_factor: float = 1
     place: affinity.Place = affinity.Place.NONE
 
 
@@ -109,19 +112,27 @@
     now_ms = inputs.now_ms
     gain = inputs.gains.get(view.server.server_id, 0)
     load = view.estimated_load(now_ms, inputs.typical_other_requests(view.server.failure_domain))
-    processing_ms = inputs.processing_ms * view.slowdown * (1 - gain)
+    round_trip_ms = inputs.round_trip_ms(view.server.failure_domain)
+    # The report has taken half a round trip to come, and the request takes another half.
+    time_factor = view.time_factor(now_ms + round_trip_ms)
+    processing_ms = inputs.processing_ms * time_factor * (1 - gain)
     if view.is_cold(now_ms):
         processing_ms *= COLD_FACTOR
     wait_ms = max(0, load - view.slots + 1) * inputs.mean_processing_ms * view.slowdown / view.slots
-    expected_ms = inputs.round_trip_ms(view.server.failure_domain) + wait_ms + processing_ms
+    expected_ms = round_trip_ms + wait_ms + processing_ms
     contention_ms = CONTENTION * processing_ms * min(1, load / view.slots)
-    failure_cost_ms = view.decayed_failure_rate(now_ms) * FAILURE_COST * inputs.processing_ms
-    price_ms = (
-        inputs.distance_cost_ms(view.server.failure_domain)
+    cost_ms = expected_ms + contention_ms + _price_ms(view, inputs, processing_ms)
+    return Choice(view, expected_ms, wait_ms, cost_ms, gain, load, time_factor)
+
+
+def _price_ms(view: servers.ServerView, inputs: SelectionInputs, processing_ms: float) -> float:
+    """Return the costs of failures, distance and congestion."""
+    failure_rate = view.decayed_failure_rate(inputs.now_ms)
+    return (
+        failure_rate * FAILURE_COST * inputs.processing_ms
+        + inputs.distance_cost_ms(view.server.failure_domain)
         + inputs.congestion_price * processing_ms
     )
-    cost_ms = expected_ms + contention_ms + failure_cost_ms + price_ms
-    return Choice(view, expected_ms, wait_ms, cost_ms, gain, load)
 
 
 @dataclasses.dataclass(slots=True)
--- a/rhubarbspar/gateway/routing/servers.py
+++ b/rhubarbspar/gateway/routing/servers.py
@@ -18,6 +18,11 @@
 EJECTION_MAX_MS: typing.Final = 4000
 # Time constant with which the weight of a load report decays.
 REPORT_DECAY_MS: typing.Final = 600
+# Time constant with which a reported slowness loses its weight. Servers change it many times a
+# second; 3 s served fewer requests than no slowness at all (docs/design/server_selection.md).
+SLOWNESS_DECAY_MS: typing.Final = 100
+SLOWNESS_MIN: typing.Final = 0.25
+SLOWNESS_MAX: typing.Final = 8.0
 # A report older than this does not exclude a server that was full.
 FULL_REPORT_MS: typing.Final = 250
 # Weight of the newest sample in the averages of failures and slowdown.
@@ -50,6 +55,10 @@
         Requests from elsewhere at the last load report.
     slowdown
         Processing time of the server, as a multiple of the typical time of its routes.
+    slowness
+        Slowness in the last response to this instance, as a multiple of the usual time.
+    slowness_ms
+        When the server sent it.
     lateness
         Response time of the server, queue included, as a multiple of the expected time.
     deadline_missed_ms
@@ -85,6 +94,8 @@
     other_requests: float = 0
     reported_ms: float = -math.inf
     slowdown: float = 1
+    slowness: float = 1
+    slowness_ms: float = -math.inf
     lateness: float = 1
     deadline_missed_ms: float = -math.inf
     failure_rate: float = 0
@@ -118,6 +129,22 @@
         # The server still counts the request that this response answers as running.
         self.other_requests = max(0, load.running + load.waiting - self.running)
         self.reported_ms = now_ms
+        if load.slowness is not None:
+            self.slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, load.slowness))
+            self.slowness_ms = now_ms
+
+    def time_factor(self, start_ms: float) -> float:
+        """Return the expected processing time at the server, as a multiple of the typical one.
+
+        Parameters
+        ----------
+        start_ms
+            When the request is expected to arrive at the server.
+        """
+        if self.slowness == 1:
+            return self.slowdown
+        weight = math.exp((self.slowness_ms - start_ms) / SLOWNESS_DECAY_MS)
+        return self.slowdown * (1 + (self.slowness - 1) * weight)
 
     def record_load_elsewhere(self, requests: int | None, reported_ms: float) -> bool:
         """Record a load report to another instance; return whether it is newer than the known one.
--- a/rhubarbspar/platform/requests.py
+++ b/rhubarbspar/platform/requests.py
@@ -22,8 +22,12 @@
         const.HEADER_EXPECTED_SERVER,
     )
 )
-# Running and waiting requests, and slots. Deployments may add further figures after them.
+# Running and waiting requests, and slots. Some deployments add the slowness after them.
 _LOAD_REPORT_FIELDS: typing.Final = 3
+# The part after the last split holds the figures that are not known.
+_SPLITS_MAX: typing.Final = 4
+# Slowness of a server at which work takes as long as usual.
+_USUAL_SLOWNESS_PERCENT: typing.Final = 100
 # Longer counts cannot be sent to peers.
 _COUNT_DIGITS_MAX: typing.Final = 9
 _RETRY_AFTER_DECIMALS = 3
@@ -93,17 +97,18 @@
 def decode_load_report(response: messages.Response) -> events.LoadReport | None:
     """Return the load that a response reports, or ``None`` if it is absent or malformed.
 
-    Figures after the known ones are ignored.
+    Figures after the known ones are ignored, and so is a fourth one that is malformed.
     """
     raw = messages.find_header(response.headers, const.HEADER_LOAD)
-    parts = [] if raw is None else raw.split(b',', _LOAD_REPORT_FIELDS)
+    parts = [] if raw is None else raw.split(b',', _SPLITS_MAX)
     counts = parts[:_LOAD_REPORT_FIELDS]
     if len(counts) != _LOAD_REPORT_FIELDS:
         return None
     if not all(part.strip().isdigit() and len(part) <= _COUNT_DIGITS_MAX for part in counts):
         return None
     running, waiting, slots = (int(part) for part in counts)
-    return events.LoadReport(running, waiting, slots)
+    slowness = _parse_slowness(parts[_LOAD_REPORT_FIELDS]) if len(parts) > len(counts) else None
+    return events.LoadReport(running, waiting, slots, slowness)
 
 
 def decode_rate_limit(response: messages.Response) -> float | None:
@@ -151,13 +156,24 @@
 def _decode_number(response: messages.Response, name: bytes) -> float | None:
     """Return the number in a header; ``None`` without a finite number of at least 0."""
     raw = messages.find_header(response.headers, name)
+    return None if raw is None else _parse_number(raw)
+
+
+def _parse_number(raw: bytes) -> float | None:
+    """Return a finite number of at least 0; ``None`` if the text is no such number."""
     try:
-        number = math.nan if raw is None else float(raw)
+        number = float(raw)
     except ValueError:
         return None
     return number if 0 <= number < math.inf else None
 
 
+def _parse_slowness(raw: bytes) -> float | None:
+    """Return a slowness as a multiple of the usual time; ``None`` if it is no positive number."""
+    percent = _parse_number(raw)
+    return percent / _USUAL_SLOWNESS_PERCENT if percent else None
+
+
 def _header_text(request: messages.Request, name: bytes) -> str | None:
     raw = messages.find_header(request.headers, name)
     return None if raw is None else raw.decode('latin-1').strip()
--- a/tests/gateway/routing/test_servers.py
+++ b/tests/gateway/routing/test_servers.py
@@ -130,3 +130,22 @@
     assert conftest.single_effect(gateway.request(), effects.Refuse).retry_after_ms
     gateway.advance(servers.FULL_REPORT_MS + 50)
     assert conftest.single_effect(gateway.request(), effects.StartAttempt)
+
+
+def test_reported_slowness_is_used_while_it_is_fresh():
+    """Guards against a slowness that is remembered longer than it holds, or shared by peers."""
+    view = servers.ServerView(conftest.make_server('s'), cold_until_ms=0)
+    view.record_load_report(events.LoadReport(1, 0, 3, slowness=2.0), 1000)
+    assert view.time_factor(1000) == 2
+    assert 1.1 < view.time_factor(1000 + servers.SLOWNESS_DECAY_MS) < 1.5
+    assert view.time_factor(1000 + 10 * servers.SLOWNESS_DECAY_MS) < 1.01
+    view.record_load_elsewhere(5, 2000)
+    assert view.time_factor(2000) < 1.01
+
+
+def test_absurd_slowness_is_bounded():
+    """Guards against a server that is never chosen, or always, because of one odd figure."""
+    view = servers.ServerView(conftest.make_server('s'), cold_until_ms=0)
+    for slowness, expected in ((1e9, servers.SLOWNESS_MAX), (1e-9, servers.SLOWNESS_MIN)):
+        view.record_load_report(events.LoadReport(1, 0, 3, slowness=slowness), 0)
+        assert view.time_factor(0) == expected
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -98,11 +98,26 @@
     )
 
 
-@pytest.mark.parametrize('raw', [b'3,1,8', b'3,1,8,140', b'3,1,8,x', b'3,1,8,140,7', b'3,1,8,'])
-def test_load_report_is_decoded(raw):
-    """Guards against mixing up the counts of a load report, and dropping it for further ones."""
+@pytest.mark.parametrize(
+    ('raw', 'slowness'),
+    [
+        (b'3,1,8', None),
+        (b'3,1,8,140', 1.4),
+        (b'3, 1, 8, 50.0', 0.5),
+        (b'3,1,8,140,7', 1.4),
+        (b'3,1,8,140,x,y,z', 1.4),
+        (b'3,1,8,', None),
+        (b'3,1,8,x', None),
+        (b'3,1,8,0', None),
+        (b'3,1,8,-100', None),
+        (b'3,1,8,nan', None),
+        (b'3,1,8,inf', None),
+    ],
+)
+def test_load_report_is_decoded(raw, slowness):
+    """Guards against mixing up the figures of a load report, and dropping it for further ones."""
     response = messages.Response(200, ((b'x-rhubarbspar-server-load', raw),))
-    assert requests.decode_load_report(response) == events.LoadReport(running=3, waiting=1, slots=8)
+    assert requests.decode_load_report(response) == events.LoadReport(3, 1, 8, slowness)
 
 
 @pytest.mark.parametrize(
