Let less urgent requests wait in the instance while servers are full

The standing-queue check compares a wait with the request's own objective, so the kind with the longest objective fills the queues of servers.

Change: at a service that several urgencies use, a less urgent request only joins a server whose estimated load leaves a slot. Otherwise it waits in the instance, ordered by urgency, fair shares of the accounts and deadline, until a slot is free or until its last time to be sent. It is refused with a usable Retry-After if it cannot be in time, if the queue is full or if memory is short. The most urgent kind, and services with one kind, are decided on as before.

--- a/rhubarbspar/gateway/const.py
+++ b/rhubarbspar/gateway/const.py
@@ -68,14 +68,18 @@
 
 REASON_ACCOUNT_OVER_RATE: typing.Final = 'account_over_rate'
 REASON_NO_CONNECTION: typing.Final = 'no_connection'
+REASON_LESS_URGENT: typing.Final = 'less_urgent'
+REASON_OVER_SHARE: typing.Final = 'account_over_share'
 REASON_OVERLOADED: typing.Final = 'overloaded'
 REASON_SERVERS_FULL: typing.Final = 'servers_full'
 REASON_STOPPING: typing.Final = 'stopping'
+REASON_WAITING_FULL: typing.Final = 'waiting_full'
 METRIC_ATTEMPTS: typing.Final = 'attempts'
 METRIC_FORWARDS: typing.Final = 'forwards'
 METRIC_SERVER_LINKS: typing.Final = 'server_links'
 METRIC_REQUESTS: typing.Final = 'requests'
 METRIC_LATENCY: typing.Final = 'latency'
+METRIC_SCHEDULING: typing.Final = 'scheduling'
 
 PHASE_RUNNING: typing.Final = 'running'
 PHASE_COMPLETED: typing.Final = 'completed'
--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -253,7 +253,7 @@
         self._last_tick_ms = now_ms
         self._store.advance_to(self._state.replica.revision)
         unsent_count = self._listeners.unsent_count if self._state.is_stopping else 0
-        self._driver.deliver(events.ClockTicked(paused_ms, unsent_count))
+        self._driver.deliver(events.ClockTicked(paused_ms, unsent_count, self._budget.is_short))
 
     def _sweep(self) -> None:
         self._listeners.close_expired()
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -174,7 +174,10 @@
         By how much it fired late.
     unsent_count
         Connections with a response that is not sent yet; counted during a planned stop only.
+    is_memory_short
+        Whether a connection waits for memory to read on.
     """
 
     paused_ms: float = 0
     unsent_count: int = 0
+    is_memory_short: bool = False
--- a/rhubarbspar/gateway/models.py
+++ b/rhubarbspar/gateway/models.py
@@ -297,6 +297,8 @@
         Time that the caller waits, counted from the arrival of the request.
     fingerprint
         Digest of method, target and body.
+    body_bytes
+        Size of the body.
     """
 
     request_number: int
@@ -308,3 +310,4 @@
     object_key: str | None
     caller_timeout_ms: float | None
     fingerprint: str
+    body_bytes: int = 0
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -13,6 +13,7 @@
 from rhubarbspar.gateway.routing import link_checks
 from rhubarbspar.gateway.serving import dispatch
 from rhubarbspar.gateway.serving import forwards
+from rhubarbspar.gateway.serving import waiting
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import store_records
 from rhubarbspar.gateway.store import store_relay
@@ -43,7 +44,8 @@
         case events.AttemptEnded(attempt_number) if attempt_number in state.forwards:
             return forwards.finish(state, event, now_ms)
         case events.AttemptEnded():
-            return dispatch.finish_attempt(state, event, now_ms)
+            ended = dispatch.finish_attempt(state, event, now_ms)
+            return [*ended, *waiting.examine(state, now_ms)]
         case events.RequestAbandoned(request_number):
             return dispatch.abandon_request(state, request_number, now_ms)
         case events.ClockTicked():
@@ -152,6 +154,7 @@
         outputs.append(core_effects.Log('process_paused', (('paused_ms', round(paused_ms)),)))
         outputs.append(effects.RefreshStore())
     server_limits.update_positions(state, now_ms)
+    state.scheduler.is_memory_short = ticked.is_memory_short
     lost = state.replica.remove_lost_records(now_ms)
     outputs.extend(store_records.apply_records(state, lost, now_ms))
     outputs.extend(store_records.remove_lapsed_servers(state, now_ms))
@@ -164,6 +167,7 @@
 def _check_attempts(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Check the deadlines of all attempts, and the links on which they are sent."""
     return [
+        *waiting.examine(state, now_ms),
         *dispatch.check_deadlines(state, now_ms),
         *forwards.check_deadlines(state, now_ms),
         *link_checks.tick(state, now_ms),
--- a/rhubarbspar/gateway/rollouts/rollouts.py
+++ b/rhubarbspar/gateway/rollouts/rollouts.py
@@ -197,6 +197,17 @@
         rollout.candidate_credit -= 1
         return candidate
 
+    def credit(self, service_id: str) -> float:
+        """Return the credit of the candidate version of a service, 0 without a rollout."""
+        rollout = self.active.get(service_id)
+        return 0 if rollout is None else rollout.candidate_credit
+
+    def restore_credit(self, service_id: str, credit: float) -> None:
+        """Take back the count of a request that was not sent after ``next_version``."""
+        rollout = self.active.get(service_id)
+        if rollout is not None:
+            rollout.candidate_credit = credit
+
     def stable_version(self, service_id: str, versions: abc.Mapping[str, int]) -> str:
         """Return the version that serves without a rollout.
 
--- /dev/null
+++ b/rhubarbspar/gateway/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling of requests at services that are short of capacity."""
--- a/rhubarbspar/gateway/serving/admission.py
+++ b/rhubarbspar/gateway/serving/admission.py
@@ -99,6 +99,21 @@
     return state.crashes.is_poison_request(fingerprint, now_ms, state.servers.last_heard_ms)
 
 
+def revoke(
+    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
+) -> Refusal | None:
+    """Return why an admitted request that was not sent yet must not be sent any more, if so."""
+    if crashes_servers(state, pending.request, pending.account, now_ms):
+        return Refusal(const.STATUS_UNAVAILABLE, package_const.REASON_CRASHES_SERVERS)
+    configuration = state.declared.configuration
+    if pending.account is None or configuration is None:
+        return None
+    account = configuration.accounts_by_key.get(pending.request.access_key or '')
+    if account is None or account.account_id != pending.account.account_id:
+        return Refusal(const.STATUS_UNAUTHORIZED, package_const.REASON_KEY_UNKNOWN)
+    return None
+
+
 def _check_account(
     state: gateway_state.State, request: models.Request, admitted: Admitted, now_ms: float
 ) -> Admitted | Refusal:
--- a/rhubarbspar/gateway/serving/caller_requests.py
+++ b/rhubarbspar/gateway/serving/caller_requests.py
@@ -1,5 +1,6 @@
 """Pending HTTP requests of callers: translates them to events, and effects to responses."""
 
+import dataclasses
 from collections import abc
 
 from rhubarbspar.core import events as core_events
@@ -32,6 +33,9 @@
         self._exchanges[request_number] = exchange
         exchange.on_abandoned = lambda: self._abandon(request_number)
         request = requests.decode_request(exchange.request, request_number)
+        body_bytes = len(exchange.request.body)
+        if body_bytes:
+            request = dataclasses.replace(request, body_bytes=body_bytes)
         self._deliver(events.RequestReceived(request))
 
     def find_request(self, request_number: int) -> messages.Request | None:
--- /dev/null
+++ b/rhubarbspar/gateway/serving/capacity.py
@@ -0,0 +1,202 @@
+"""Whether a request may use a server of its service now: collects the inputs of the scheduler."""
+
+from rhubarbspar import const as package_const
+from rhubarbspar.core import effects as core_effects
+from rhubarbspar.gateway import const
+from rhubarbspar.gateway.routing import groups
+from rhubarbspar.gateway.routing import placement
+from rhubarbspar.gateway.routing import processing_times
+from rhubarbspar.gateway.routing import selection
+from rhubarbspar.gateway.scheduling import decisions
+from rhubarbspar.gateway.scheduling import models as scheduling
+from rhubarbspar.gateway.serving import admission
+from rhubarbspar.gateway.serving import responses
+from rhubarbspar.gateway import state as gateway_state
+
+
+def record_request(
+    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
+) -> None:
+    """Note that the service of a request gets requests of its urgency."""
+    state.scheduler.record_request(pending.service_id, _urgency(pending), now_ms)
+
+
+def decide_unplaced(
+    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
+) -> scheduling.Decision:
+    """Decide about a new request before a server is chosen.
+
+    It waits behind others that wait for the same servers, without the cost of a choice.
+    """
+    rank = _rank(state, pending, now_ms)
+    if rank == scheduling.Rank.FIRST or not state.scheduler.keys:
+        return scheduling.Send()
+    if not state.scheduler.is_blocked(_group_key(pending), _urgency(pending)):
+        return scheduling.Send()
+    processing_ms = processing_times.uncached_ms(state, pending.route)
+    until_ms = decisions.latest_ms(processing_ms, pending.due_ms)
+    if now_ms >= until_ms:
+        return scheduling.Send()
+    return _check_wait(state, pending, rank, until_ms, now_ms)
+
+
+def decide(
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    choice: selection.Choice,
+    now_ms: float,
+) -> scheduling.Decision:
+    """Decide whether a request is sent to the chosen server, waits, or is refused."""
+    rank = _rank(state, pending, now_ms)
+    if rank == scheduling.Rank.FIRST:
+        if not placement.is_overloaded(pending, choice, now_ms):
+            return scheduling.Send()
+        return _refuse(state, pending, const.REASON_OVERLOADED, now_ms)
+    decision = decisions.decide(_candidate(choice, now_ms), rank, pending.due_ms, now_ms)
+    if isinstance(decision, scheduling.Wait):
+        return _check_wait(state, pending, rank, decision.until_ms, now_ms)
+    return decision
+
+
+def decide_without_server(
+    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
+) -> scheduling.Wait | scheduling.Refuse:
+    """Decide about a request that no server may get now.
+
+    One that makes way waits if that is because servers are full, which passes.
+    """
+    refusal = _refuse(state, pending, package_const.REASON_NO_SERVER, now_ms)
+    turned_away_ms = placement.turned_away_ms(state, pending, now_ms)
+    if turned_away_ms is not None:
+        refusal = scheduling.Refuse(refusal.reason, turned_away_ms)
+    rank = _rank(state, pending, now_ms)
+    views = state.servers.of_service(pending.service_id)
+    until_ms = decisions.latest_ms(
+        processing_times.uncached_ms(state, pending.route), pending.due_ms
+    )
+    if rank == scheduling.Rank.FIRST or now_ms >= until_ms:
+        return refusal
+    if not any(view.is_full(now_ms) for view in views):
+        return refusal
+    return _check_wait(state, pending, rank, until_ms, now_ms)
+
+
+def wait(
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    until_ms: float,
+    choice: selection.Choice | None,
+    now_ms: float,
+) -> list[core_effects.Effect]:
+    """Let a request wait, unless it waits already.
+
+    Parameters
+    ----------
+    choice
+        The server that had no room; ``None`` if the request waits behind others.
+    """
+    number = pending.request.request_number
+    if number in state.scheduler.keys:
+        return []
+    account = pending.account
+    waiting = scheduling.WaitingRequest(
+        number,
+        _urgency(pending),
+        '' if account is None else account.account_id,
+        processing_times.of_route(state, pending.route).mean_ms,
+        now_ms,
+        pending.due_ms,
+        until_ms,
+        pending.request.body_bytes,
+    )
+    state.scheduler.add(_group_key(pending), waiting, now_ms)
+    rank = _rank(state, pending, now_ms).name.lower()
+    fields = (
+        ('service', pending.service_id),
+        ('account', waiting.account_id or None),
+        ('reason', rank),
+        ('urgency', waiting.urgency),
+        ('first_urgency', state.scheduler.most_urgent(pending.service_id, now_ms)),
+        ('server', None if choice is None else choice.view.server.server_id),
+        ('load', None if choice is None else round(choice.load, 1)),
+        ('slots', None if choice is None else choice.view.slots),
+        (
+            'load_age_ms',
+            None if choice is None else responses.age_ms(choice.view.reported_ms, now_ms),
+        ),
+        ('until_ms', round(until_ms - now_ms)),
+        ('waiting', len(state.scheduler.keys)),
+    )
+    return [
+        core_effects.Count(const.METRIC_SCHEDULING, f'waits_{rank}'),
+        core_effects.Log('request_waits', responses.log_fields(pending.request, fields)),
+    ]
+
+
+def _check_wait(
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    rank: scheduling.Rank,
+    until_ms: float,
+    now_ms: float,
+) -> scheduling.Wait | scheduling.Refuse:
+    """Refuse a request that cannot wait, or that would wait beyond its last time to be sent."""
+    if now_ms - state.lifecycle.stop_requested_ms > const.STOP_REFUSE_AFTER_MS:
+        return scheduling.Refuse(const.REASON_STOPPING, admission.STOP_RETRY_AFTER_MS)
+    if pending.request.request_number in state.scheduler.keys:
+        return scheduling.Wait(until_ms)
+    if not state.scheduler.has_room(pending.request.body_bytes):
+        return _refuse(state, pending, const.REASON_WAITING_FULL, now_ms)
+    account_id = '' if pending.account is None else pending.account.account_id
+    wait_ms = state.scheduler.expected_wait_ms(
+        _group_key(pending), _urgency(pending), account_id, now_ms
+    )
+    if now_ms + wait_ms <= until_ms:
+        return scheduling.Wait(until_ms)
+    retry_after_ms = decisions.retry_after_ms(wait_ms, pending.due_ms, now_ms)
+    return scheduling.Refuse(decisions.REASONS[rank], retry_after_ms)
+
+
+def _refuse(
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    reason: str,
+    now_ms: float,
+) -> scheduling.Refuse:
+    """Return a refusal until a free slot is expected, as far as the caller can use that time."""
+    slot_ms = processing_times.uncached_ms(state, pending.route) * responses.RETRY_AFTER_SHARE
+    return scheduling.Refuse(reason, decisions.retry_after_ms(slot_ms, pending.due_ms, now_ms))
+
+
+def _candidate(choice: selection.Choice, now_ms: float) -> scheduling.Candidate:
+    return scheduling.Candidate(
+        choice.load,
+        choice.view.slots,
+        now_ms - choice.view.reported_ms,
+        choice.wait_ms,
+        choice.expected_ms - choice.wait_ms,
+    )
+
+
+def _rank(
+    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
+) -> scheduling.Rank:
+    """Return how far a request makes way; one that was sent before does not."""
+    if pending.send_count:
+        return scheduling.Rank.FIRST
+    return state.scheduler.rank(pending.service_id, _urgency(pending), now_ms)
+
+
+def _urgency(pending: gateway_state.PendingRequest) -> int:
+    """Return the urgency of a request; the account's priority takes precedence."""
+    account = pending.account
+    if account is None or account.priority is None:
+        return pending.route.priority
+    return account.priority
+
+
+def _group_key(pending: gateway_state.PendingRequest) -> groups.GroupKey:
+    """Return what selects the servers for which a request waits."""
+    account = pending.account
+    account_regions = frozenset[str]() if account is None else account.home_regions
+    return groups.GroupKey(pending.service_id, pending.route.home_regions, account_regions)
--- a/rhubarbspar/gateway/serving/dispatch.py
+++ b/rhubarbspar/gateway/serving/dispatch.py
@@ -15,7 +15,9 @@
 from rhubarbspar.gateway.rollouts import version_results
 from rhubarbspar.gateway.routing import placement
 from rhubarbspar.gateway.routing import selection
+from rhubarbspar.gateway.scheduling import models as scheduling
 from rhubarbspar.gateway.serving import admission
+from rhubarbspar.gateway.serving import capacity
 from rhubarbspar.gateway.serving import forwarders
 from rhubarbspar.gateway.serving import outcomes
 from rhubarbspar.gateway.serving import responses
@@ -39,6 +41,7 @@
         case admission.Admitted(route, account):
             pending = _add_pending(state, request, route, account, now_ms)
     state.budget.record_request(pending.service_id, now_ms)
+    capacity.record_request(state, pending, now_ms)
     return _start_attempt(state, pending, now_ms)
 
 
@@ -51,6 +54,7 @@
         return []
     outputs = _cancel_attempts(state, pending, now_ms)
     state.pending.pop(number)
+    state.scheduler.remove(number)
     waited = (('waited_ms', round(now_ms - pending.arrived_ms)),)
     return [
         *outputs,
@@ -83,6 +87,25 @@
     return outputs + _retry_or_respond(state, pending, attempt, ended, now_ms)
 
 
+def resume(
+    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
+) -> list[core_effects.Effect]:
+    """Send a waiting request if there is capacity for it; refuse it if it can wait no longer.
+
+    Its key may have been revoked meanwhile, and it may have crashed servers for other instances.
+    """
+    refusal = admission.revoke(state, pending, now_ms)
+    if refusal is not None:
+        state.pending.pop(pending.request.request_number)
+        state.scheduler.remove(pending.request.request_number)
+        return responses.refuse(
+            state, pending.request, refusal.status, refusal.reason, None, refusal
+        )
+    if now_ms >= pending.due_ms:
+        return _refuse(state, pending, package_const.REASON_DEADLINE_EXCEEDED)
+    return _try_server(state, pending, now_ms)
+
+
 def end_pending(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Answer the requests that a planned stop does not wait for any longer."""
     outputs: list[core_effects.Effect] = []
@@ -149,19 +172,51 @@
 def _start_attempt(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> list[core_effects.Effect]:
-    """Choose a server and start an attempt there, or refuse the request."""
+    """Start an attempt, let the request wait for capacity, or refuse it."""
+    match capacity.decide_unplaced(state, pending, now_ms):
+        case scheduling.Wait(until_ms):
+            return capacity.wait(state, pending, until_ms, None, now_ms)
+        case scheduling.Refuse(reason, retry_after_ms):
+            return _refuse(state, pending, reason, retry_after_ms)
+    return _try_server(state, pending, now_ms)
+
+
+def _try_server(
+    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
+) -> list[core_effects.Effect]:
+    """Choose a server and decide whether the request is sent there now."""
+    credit = state.rollouts.credit(pending.service_id)
     choice = placement.choose_server(state, pending, now_ms)
     if choice is None:
-        retry_after_ms = placement.turned_away_ms(state, pending, now_ms)
-        return _refuse(state, pending, package_const.REASON_NO_SERVER, retry_after_ms)
+        return _wait_without_server(state, pending, credit, now_ms)
     if retries.ends_after_stop(state, pending, choice, now_ms):
         # Another instance can serve it in time.
         return _refuse(state, pending, const.REASON_STOPPING, admission.STOP_RETRY_AFTER_MS)
-    if placement.is_overloaded(pending, choice, now_ms):
-        return _refuse(state, pending, const.REASON_OVERLOADED)
+    match capacity.decide(state, pending, choice, now_ms):
+        case scheduling.Wait(until_ms):
+            # The version that the request would have got is still the next one.
+            state.rollouts.restore_credit(pending.service_id, credit)
+            return capacity.wait(state, pending, until_ms, choice, now_ms)
+        case scheduling.Refuse(reason, retry_after_ms):
+            return _refuse(state, pending, reason, retry_after_ms)
     return _send(state, pending, choice, now_ms)
 
 
+def _wait_without_server(
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    credit: float,
+    now_ms: float,
+) -> list[core_effects.Effect]:
+    """Refuse a request that no server may get, or let it wait while servers are full."""
+    match capacity.decide_without_server(state, pending, now_ms):
+        case scheduling.Wait(until_ms):
+            state.rollouts.restore_credit(pending.service_id, credit)
+            return capacity.wait(state, pending, until_ms, None, now_ms)
+        case scheduling.Refuse(reason, retry_after_ms):
+            return _refuse(state, pending, reason, retry_after_ms)
+
+
 def _send(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
@@ -224,6 +279,7 @@
     pending.current_attempt = attempt
     pending.tried_server_ids.append(server.server_id)
     pending.send_count += 1
+    state.scheduler.record_sent(attempt.request_number, now_ms)
     if view.is_cold(now_ms) and view.cold_share is None:
         server_limits.start_cold_share(state, view, now_ms)
     view.record_sent(now_ms)
@@ -283,7 +339,9 @@
     retry_after_ms: float | None = None,
 ) -> list[core_effects.Effect]:
     """Refuse a pending request for which no attempt is under way."""
-    state.pending.pop(pending.request.request_number)
+    number = pending.request.request_number
+    state.pending.pop(number)
+    state.scheduler.remove(number)
     return responses.refuse_unserved(state, pending, reason, retry_after_ms)
 
 
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -22,6 +22,7 @@
 from rhubarbspar.gateway.routing import server_links
 from rhubarbspar.gateway.routing import servers as server_views
 from rhubarbspar.gateway.routing import traffic_shifts
+from rhubarbspar.gateway.scheduling import scheduler as request_scheduler
 from rhubarbspar.gateway.store import store_replica
 
 Record: typing.TypeAlias = (
@@ -227,6 +228,8 @@
         Usual time of each route at a server without a queue.
     pending, attempts
         Requests without a final response, and attempts under way, by number.
+    scheduler
+        Requests that wait for capacity, and the urgencies at each service.
     forwards
         Attempts under way for peers, by number.
     links
@@ -269,6 +272,9 @@
         default_factory=poison_requests.PoisonRequestDetector
     )
     rollouts: rollout_state.Rollouts = dataclasses.field(default_factory=rollout_state.Rollouts)
+    scheduler: request_scheduler.Scheduler = dataclasses.field(
+        default_factory=request_scheduler.Scheduler
+    )
     pending: dict[int, PendingRequest] = dataclasses.field(default_factory=dict)
     attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
     forwards: dict[int, Forward] = dataclasses.field(default_factory=dict)
