Explain where a gateway would send a request

Cause: operators could not see why a request goes to a server, or is refused, without sending one and reading the logs.

Change: the metrics port answers /explain, and `rhubarbspar explain` asks it. The request is reduced on a copy of the state by the code that serves callers, so nothing changes and the answer cannot differ from what happens.

--- a/rhubarbspar/cli.py
+++ b/rhubarbspar/cli.py
@@ -20,6 +20,7 @@
 from rhubarbspar.operators.commands import check
 from rhubarbspar.operators.commands import drain
 from rhubarbspar.operators.commands import environment as environments
+from rhubarbspar.operators.commands import explain
 from rhubarbspar.operators.commands import keys
 from rhubarbspar.operators.commands import moves
 from rhubarbspar.operators.commands import plan
@@ -114,6 +115,12 @@
     )
     check.add_arguments(check_parser)
     check_parser.set_defaults(run=_run_check)
+    purpose = 'show where a gateway would send a request now, and why'
+    explain_parser = commands.add_parser(
+        'explain', help=purpose, description=purpose, epilog=explain.EPILOG
+    )
+    explain.add_arguments(explain_parser)
+    explain_parser.set_defaults(run=_run_explain)
     purpose = 'run an entry instance until its planned stop'
     instance_parser = commands.add_parser(
         'instance', help=purpose, description=purpose, epilog=_EXIT_CODES
@@ -144,6 +151,10 @@
     return check.run(parsed)
 
 
+def _run_explain(parsed: argparse.Namespace, _connect_to: Connect) -> int:
+    return explain.run(parsed)
+
+
 def _run_instance(parsed: argparse.Namespace, _connect_to: Connect) -> int:
     settings = instance_settings.load(parsed.settings)
     # Imported here, because it imports the reactor, which other commands do not need.
--- a/rhubarbspar/gateway/const.py
+++ b/rhubarbspar/gateway/const.py
@@ -58,6 +58,7 @@
 STOP_EXIT_MARGIN_MS: typing.Final = 250
 
 STATUS_OK: typing.Final = 200
+STATUS_BAD_REQUEST: typing.Final = 400
 STATUS_UNAUTHORIZED: typing.Final = 401
 STATUS_NOT_FOUND: typing.Final = 404
 STATUS_TOO_MANY_REQUESTS: typing.Final = 429
--- a/rhubarbspar/gateway/routing/placement.py
+++ b/rhubarbspar/gateway/routing/placement.py
@@ -53,6 +53,25 @@
     return dataclasses.replace(choice, place=expected.place)
 
 
+def estimate_all(
+    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
+) -> tuple[selection.Choice, ...]:
+    """Return the expected times and costs at all servers of the service, usable or not."""
+    views = state.servers.of_service(pending.service_id)
+    group = groups.ServerGroup(views, state.network)
+    expected_gains = _expected_gains(state, pending, group, now_ms)
+    gains = {server_id: expected.gain for server_id, expected in expected_gains.items()}
+    inputs = _selection_inputs(state, pending, group, gains, now_ms)
+    return tuple(selection.estimate(view, inputs) for view in views)
+
+
+def permitted_ids(
+    state: gateway_state.State, pending: gateway_state.PendingRequest
+) -> abc.Set[str]:
+    """Return the ids of the servers that may get a request of the service, route and account."""
+    return _permitted_group(state, pending).by_id.keys()
+
+
 def turned_away_ms(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> float | None:
--- a/rhubarbspar/gateway/routing/selection.py
+++ b/rhubarbspar/gateway/routing/selection.py
@@ -103,11 +103,11 @@
     available = [view for view in usable if view.ejected_until_ms <= now_ms]
     # With every server ejected, the one whose ejection ends first is the best guess.
     considered = available or sorted(usable, key=lambda view: view.ejected_until_ms)[:1]
-    choices = [_estimate(view, inputs) for view in considered]
+    choices = [estimate(view, inputs) for view in considered]
     return min(choices, key=operator.attrgetter('cost_ms'), default=None)
 
 
-def _estimate(view: servers.ServerView, inputs: SelectionInputs) -> Choice:
+def estimate(view: servers.ServerView, inputs: SelectionInputs) -> Choice:
     """Return a candidate with its expected times and cost."""
     now_ms = inputs.now_ms
     gain = inputs.gains.get(view.server.server_id, 0)
--- a/rhubarbspar/gateway/serving/listeners.py
+++ b/rhubarbspar/gateway/serving/listeners.py
@@ -6,6 +6,9 @@
 from collections import abc
 
 from rhubarbspar.gateway import const
+from rhubarbspar.gateway.explain import codec
+from rhubarbspar.gateway.explain import errors
+from rhubarbspar.gateway.explain import explanation
 from rhubarbspar.gateway.limits import descriptor_limits
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway.serving import directory
@@ -26,6 +29,8 @@
 BACKLOG: typing.Final = 512
 _INTERNAL_BODY_MAX_BYTES: typing.Final = 65_536
 
+_JSON_HEADERS: typing.Final = ((b'content-type', b'application/json'),)
+
 _Respond: typing.TypeAlias = abc.Callable[[messages.Request], messages.Response]
 
 
@@ -110,7 +115,7 @@
 
     def open_metrics(self, address: str) -> None:
         """Open the port of the metrics; raise as ``open`` does."""
-        self._serve(address, self._answer_metrics, self._limits.metrics)
+        self._serve(address, self._answer_operator, self._limits.metrics)
 
     def stop_accepting(self) -> None:
         """Accept no more connections of callers than those that wait for it.
@@ -177,6 +182,22 @@
         answer = directory.find_instances(self._state, lookup.failure_domain, lookup.region, now_ms)
         return platform_directory.encode_lookup(answer.caller_addresses, answer.ttl_ms)
 
+    def _answer_operator(self, request: messages.Request) -> messages.Response:
+        """Answer at the metrics port: an explanation of a request, or the metrics."""
+        target = request.target.decode('latin-1')
+        if not codec.is_query(target):
+            return self._answer_metrics(request)
+        try:
+            body = self._explain(target)
+        except errors.QueryError as error:
+            return messages.Response(const.STATUS_BAD_REQUEST, body=codec.encode_error(error))
+        return messages.Response(const.STATUS_OK, _JSON_HEADERS, body)
+
+    def _explain(self, target: str) -> bytes:
+        query = codec.decode_target(target)
+        explained = explanation.explain(self._state, query, self._clock_ms())
+        return codec.encode_explanation(explained)
+
     def _answer_metrics(self, request: messages.Request) -> messages.Response:
         self._counters.update_connections(self._limits.parts)
         accept = messages.find_header(request.headers, b'accept') or b''
