--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -8,6 +8,8 @@
 
 from rhubarbspar.gateway import daemon as gateway_daemon
 from rhubarbspar.gateway import settings
+from rhubarbspar.gateway.explain import codec
+from rhubarbspar.gateway.explain import models as explain_models
 from rhubarbspar.http1 import messages
 from tests.gateway import deployment as gateway_deployment
 from tests.gateway import test_settings
@@ -301,3 +303,22 @@
     loaded = settings.load(path)
     path.unlink()
     gateway_daemon.Daemon(str(path), loaded, loop.reactor).close()
+
+
+def test_metrics_port_explains_where_a_request_goes(deployment):
+    """Guards against an explanation that differs from what a real request meets."""
+
+    async def scenario():
+        await deployment.until_ready()
+        query = explain_models.Query('GET', 'shop.example', '/stock/1', 'workshop')
+        target = codec.encode_target(query).encode()
+        address = deployment.first.settings.metrics_address
+        response = await deployment.call_address(address, target)
+        explained = codec.decode_explanation(bytes(response.body))
+        assert explained.server_id == 's-1'
+        assert not deployment.received
+        unknown = await deployment.call_address(address, target.replace(b'workshop', b'other'))
+        assert unknown.status == 400
+        assert (await deployment.call_address(address, b'/metrics')).status == 200
+
+    deployment.loop.run(scenario())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -30,6 +30,7 @@
         'apply',
         'check',
         'drain',
+        'explain',
         'instance',
         'keys grant',
         'keys list',
