Keep operators' records in a full replica, and name what is missing

Seen by callers: with a full record table, a moved route or a withdrawn key stayed in force at the instance for good.

Cause: the merge dropped any record that found no room, a configuration included, while the revision, complete_from and the heartbeats claimed that everything was known. Nothing asked for the record again, and a peer that was fed here took the incomplete changes for complete ones.

Change: records of operators, rollout statuses and the fleet's own records always find room; records of backend servers and unknown keys are evicted for them, unreadable ones first, then the largest. A new server record replaces only unreadable ones and those of at least twice its size. What is left out is named: in complete_from of the heartbeat, in the new last field `missing` of StoreNews and StoreSnapshotPart, and in the log. An instance reads up to four missing records a second by key once they fit.

Not covered: a release before this one ignores `missing`, as it did before. The first read of a store whose records exceed the limit still fails.

--- a/rhubarbspar/gateway/driver.py
+++ b/rhubarbspar/gateway/driver.py
@@ -204,6 +204,8 @@
                 self._run_in_background(self._store.write_status(status))
             case effects.FollowStore(enabled):
                 self._store.switch_following(following=enabled)
+            case effects.ReadPrefix(prefix):
+                self._run_in_background(self._store.read_prefix(prefix))
             case effects.RefreshStore():
                 self._store.reconnect()
             case effects.Leave():
--- a/rhubarbspar/gateway/effects.py
+++ b/rhubarbspar/gateway/effects.py
@@ -111,6 +111,13 @@
     enabled: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadPrefix(effects.Effect):
+    """Read the records below a prefix from the store; ``PrefixRead`` follows unless that fails."""
+
+    prefix: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RefreshStore(effects.Effect):
     """Close the connections to the store, so that its records are read again soon."""
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -149,6 +149,15 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefixRead(events.Event):
+    """All records below a prefix were read; later changes have a newer revision."""
+
+    prefix: str
+    records: tuple[RecordRead, ...]
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreChanged(events.Event):
     """Records changed up to a revision; without records, nothing changed up to it."""
--- a/rhubarbspar/gateway/membership/gossip.py
+++ b/rhubarbspar/gateway/membership/gossip.py
@@ -23,6 +23,7 @@
 from rhubarbspar.gateway.routing import crashes
 from rhubarbspar.gateway.routing import load_reports
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.store import store_recovery
 from rhubarbspar.gateway.store import store_relay
 
 
@@ -171,6 +172,7 @@
         _forget_replaced_sums(state, now_ms)
     outputs.extend(topology.connection_effects(state.fleet, now_ms))
     outputs.extend(store_relay.update_following(state, now_ms))
+    outputs.extend(store_recovery.read_missing(state, now_ms))
     return outputs
 
 
@@ -326,7 +328,7 @@
         _loads(state, relation, now_ms),
         state.links.are_lost,
         _ids(peer for peer in live if peer.links_lost),
-        state.replica.history.complete_from,
+        state.replica.complete_from,
         state.replica.changed_revision,
     )
 
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -156,6 +156,25 @@
     content: bytes | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MissingRecord:
+    """A record of the store that the sender lacks for want of room.
+
+    Attributes
+    ----------
+    key
+        Empty if the entry stands for any number of records whose keys the sender does not know.
+    revision
+        Revision of the record; of several, the newest one.
+    size_bytes
+        Memory that the record takes; of several, the largest one.
+    """
+
+    key: str
+    revision: int
+    size_bytes: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreNews(GatewayMessage):
     """Changes of the store, relayed to a peer that does not watch the store or reach it.
@@ -170,12 +189,16 @@
         Highest store revision of a peer that reaches it. The records are then the difference of two
         reads of the store, which lacks what was written and deleted between them; ``None`` if there
         is no such bound.
+    missing
+        Changes that the sender lacks. An earlier release does not know this field and takes the
+        changes to be complete.
     """
 
     base_revision: int
     revision: int
     records: tuple[RelayedRecord, ...]
     base_revision_max: int | None = None
+    missing: tuple[MissingRecord, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -192,12 +215,15 @@
         Last key of the part before; empty in the first part.
     is_last
         Whether no part follows.
+    missing
+        Records that the sender lacks, in the last part.
     """
 
     revision: int
     after_key: str
     is_last: bool
     records: tuple[RelayedRecord, ...]
+    missing: tuple[MissingRecord, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -15,6 +15,7 @@
 from rhubarbspar.gateway.serving import forwards
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import store_records
+from rhubarbspar.gateway.store import store_recovery
 from rhubarbspar.gateway.store import store_relay
 
 
@@ -85,11 +86,13 @@
         case events.StoreSnapshot():
             return _apply_snapshot(state, event, now_ms)
         case events.StoreChanged(records, revision):
-            base_revision = state.replica.changed_revision
+            base_revision = state.replica.passed_on_revision
             outputs = store_relay.note_store_reachable(state, now_ms, revision)
             changed = state.replica.apply_changes(records, revision, now_ms)
             applied = store_records.apply_records(state, changed, now_ms)
             return [*outputs, *store_relay.relay_changes(state, base_revision, now_ms), *applied]
+        case events.PrefixRead():
+            return store_recovery.apply_prefix(state, event, now_ms)
         case events.StoreLost(reason):
             outputs = store_relay.note_store_lost(state, reason)
             return [*outputs, *gossip.send_heartbeats(state, now_ms)] if outputs else []
--- a/rhubarbspar/gateway/store/store_batches.py
+++ b/rhubarbspar/gateway/store/store_batches.py
@@ -6,6 +6,7 @@
 from collections import abc
 
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import messages
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -13,13 +14,15 @@
     """Changes that lead from one revision to another.
 
     ``base_revision_max`` is the highest revision from which a difference leads there; ``None`` if
-    the changes are complete from any later revision as well.
+    the changes are complete from any later revision as well. The changes that ``missing`` names are
+    not among them.
     """
 
     base_revision: int
     revision: int
     records: tuple[events.RecordRead, ...]
     base_revision_max: int | None = None
+    missing: tuple[messages.MissingRecord, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +78,37 @@
     return batches
 
 
+def name_missing(
+    batches: list[ChangeBatch], whole: ChangeBatch, missing: abc.Iterable[messages.MissingRecord]
+) -> list[ChangeBatch]:
+    """Return batches that name the missing changes, each one that which leads past their revision.
+
+    Parameters
+    ----------
+    whole
+        Revisions between which the changes lie; its records do not count.
+    missing
+        Missing changes between these revisions.
+    """
+    by_revision = sorted(missing, key=operator.attrgetter('revision'))
+    if not by_revision:
+        return batches
+    last_revision = batches[-1].revision if batches else whole.base_revision
+    if by_revision[-1].revision > last_revision:
+        batches = [*batches, ChangeBatch(last_revision, whole.revision, ())]
+    return [
+        dataclasses.replace(
+            batch,
+            missing=tuple(
+                entry
+                for entry in by_revision
+                if batch.base_revision < entry.revision <= batch.revision
+            ),
+        )
+        for batch in batches
+    ]
+
+
 def split_snapshot(
     records: abc.Iterable[events.RecordRead], bytes_max: int
 ) -> tuple[SnapshotPart, ...]:
--- a/rhubarbspar/gateway/store/store_records.py
+++ b/rhubarbspar/gateway/store/store_records.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar import exceptions
 from rhubarbspar.gateway import effects
@@ -23,6 +24,7 @@
 ) -> list[core_effects.Effect]:
     """Apply changed records in the order of their revisions; return the resulting effects."""
     outputs = _report_ignored(state)
+    outputs.extend(_forget_evicted(state, now_ms))
     for record in records:
         if record.content is None:
             state.replica.note_change(record)
@@ -50,6 +52,37 @@
     return [core_effects.Log('records_ignored', (('count', count), ('limit_bytes', limit_bytes)))]
 
 
+def _forget_evicted(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    """Undo the records that the replica has removed for lack of room."""
+    outputs: list[core_effects.Effect] = []
+    for record in state.replica.evicted:
+        log_fields = (
+            ('key', record.key),
+            ('revision', record.revision),
+            ('size_bytes', record.size_bytes),
+            ('limit_bytes', state.replica.records.max_bytes),
+        )
+        outputs.append(core_effects.Log('record_evicted', log_fields))
+        outputs.append(core_effects.Count(package_const.METRIC_EVENTS, 'record_evicted'))
+        if record.key not in state.replica.records:
+            outputs.extend(_forget_record(state, record.key, now_ms))
+    state.replica.evicted.clear()
+    return outputs
+
+
+def _forget_record(
+    state: gateway_state.State, key: str, now_ms: float
+) -> list[core_effects.Effect]:
+    """Undo the record of a key; only those of backend servers are evicted."""
+    forgotten = state.declared.records.pop(key, None)
+    if not isinstance(forgotten, models.BackendServer):
+        return []
+    if forgotten.server_id not in state.servers.views:
+        return []
+    ended = crash_checks.note_ended(state, forgotten, now_ms)
+    return ended + _forget_server(state, forgotten.server_id, 'evicted')
+
+
 def _decode_and_apply(
     state: gateway_state.State, record: events.RecordRead, content: bytes, now_ms: float
 ) -> list[core_effects.Effect]:
--- a/rhubarbspar/gateway/store/store_relay.py
+++ b/rhubarbspar/gateway/store/store_relay.py
@@ -106,7 +106,7 @@
     """Apply store changes that a peer relays, if they continue from the known revision."""
     replica = state.replica
     _note_relayed(state, now_ms)
-    base_revision = replica.changed_revision
+    base_revision = replica.passed_on_revision
     if relayed.revision <= replica.revision:
         return []
     if not store_batches.continues_from(
@@ -116,8 +116,13 @@
     records = tuple(
         events.RecordRead(record.key, record.revision, record.content) for record in relayed.records
     )
-    log_fields = (('peer', peer_id), ('revision', relayed.revision), ('records', len(records)))
-    changed = replica.apply_changes(records, relayed.revision, now_ms)
+    log_fields = (
+        ('peer', peer_id),
+        ('revision', relayed.revision),
+        ('records', len(records)),
+        ('missing', len(relayed.missing)),
+    )
+    changed = replica.apply_changes(records, relayed.revision, now_ms, relayed.missing)
     if relayed.base_revision_max is not None:
         gap = change_history.RevisionGap(relayed.base_revision_max, relayed.revision)
         replica.add_gap(gap)
@@ -146,12 +151,13 @@
     _note_relayed(state, now_ms)
     base_revision = state.replica.revision
     snapshot = events.StoreSnapshot(tuple(partial.records), part.revision)
-    changed = state.replica.apply_snapshot(snapshot, now_ms)
+    changed = state.replica.apply_snapshot(snapshot, now_ms, part.missing)
     log_fields = (
         ('peer', peer_id),
         ('revision', part.revision),
         ('records', len(partial.records)),
         ('changed', len(changed)),
+        ('missing', len(part.missing)),
     )
     applied = store_records.apply_records(state, changed, now_ms)
     state.quotas.divide_among(state.fleet.size(now_ms))
@@ -177,7 +183,7 @@
     state: gateway_state.State, peer: fleet.Peer, now_ms: float
 ) -> list[core_effects.Effect]:
     """Return the store changes that a peer without contact to the store lacks."""
-    if peer.store_reachable or peer.store_revision >= state.replica.changed_revision:
+    if peer.store_reachable or peer.store_revision >= state.replica.passed_on_revision:
         return []
     is_overdue = now_ms - peer.revision_changed_ms > const.CHANGES_OVERDUE_MS
     if not (is_overdue or _is_responsible_for(state, peer, now_ms)):
@@ -289,7 +295,7 @@
     log_fields = (
         ('peer', peer_id),
         ('peer_revision', peer.store_revision),
-        ('complete_from', replica.history.complete_from),
+        ('complete_from', replica.complete_from),
         ('revision', replica.revision),
     )
     outputs: list[core_effects.Effect] = [core_effects.Log('snapshot_sent', log_fields)]
@@ -297,10 +303,14 @@
         core_effects.SendMessage(
             peer_id,
             messages.StoreSnapshotPart(
-                replica.revision, part.after_key, part.is_last, _relayed(part.records)
+                replica.revision,
+                part.after_key,
+                part.is_last,
+                _relayed(part.records),
+                tuple(replica.records.missing) if part.is_last else (),
             ),
         )
-        for part in store_batches.split_snapshot(replica.existing(), BATCH_MAX_BYTES)
+        for part in store_batches.split_snapshot(replica.records.existing(), BATCH_MAX_BYTES)
     )
     return outputs
 
@@ -309,7 +319,11 @@
     batch: store_batches.ChangeBatch, receiver_ids: list[str]
 ) -> core_effects.SendMessage | core_effects.Multicast:
     relayed = messages.StoreNews(
-        batch.base_revision, batch.revision, _relayed(batch.records), batch.base_revision_max
+        batch.base_revision,
+        batch.revision,
+        _relayed(batch.records),
+        batch.base_revision_max,
+        batch.missing,
     )
     if len(receiver_ids) == 1:
         return core_effects.SendMessage(receiver_ids[0], relayed)
--- a/rhubarbspar/gateway/store/store_replica.py
+++ b/rhubarbspar/gateway/store/store_replica.py
@@ -7,9 +7,13 @@
 import math
 import operator
 import typing
+from collections import abc
 
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import messages
 from rhubarbspar.gateway.store import change_history
+from rhubarbspar.gateway.store import missing_records
+from rhubarbspar.gateway.store import record_kinds
 from rhubarbspar.gateway.store import record_table
 from rhubarbspar.gateway.store import revisions
 from rhubarbspar.gateway.store import store_batches
@@ -66,6 +70,10 @@
         was none lately.
     ignored_count
         Records that were not added for lack of room since this was last set to 0.
+    evicted
+        Records that were removed for lack of room since this was last cleared.
+    prefix_read_ms
+        When missing records were last asked for.
     """
 
     revision: int = 0
@@ -82,24 +90,57 @@
         default_factory=change_history.ChangeHistory
     )
     replaced: dict[str, int] = dataclasses.field(default_factory=dict)
+    evicted: list[events.RecordRead] = dataclasses.field(default_factory=list)
+    prefix_read_ms: float = float('-inf')
+
+    @property
+    def complete_from(self) -> int:
+        """Return the revision after which all changes are known, deletions included.
+
+        A change that is missing for lack of room is not known.
+        """
+        return max(self.history.complete_from, self.records.missing.newest_revision)
+
+    @property
+    def passed_on_revision(self) -> int:
+        """Return the revision up to which the changes were passed on when they came.
+
+        Records that came ahead of the changes before them are newer than the known revision.
+        """
+        return min(self.changed_revision, self.revision)
 
     def apply_snapshot(
-        self, snapshot: events.StoreSnapshot, now_ms: float
+        self,
+        snapshot: events.StoreSnapshot,
+        now_ms: float,
+        missing: abc.Iterable[messages.MissingRecord] = (),
     ) -> tuple[events.RecordRead, ...]:
         """Replace all records by a snapshot; return what changed, tombstones included.
 
         Records of an earlier era that the snapshot lacks are kept until ``lost_removed_ms``. What
         was written and deleted since the known revision is in neither of them.
+
+        Parameters
+        ----------
+        missing
+            Records that the snapshot lacks although they exist.
         """
         known_revision = self.revision
         self.mark_reachable(snapshot.revision, now_ms, now_ms)
         self.changed_revision = max(self.changed_revision, snapshot.revision)
-        current = {record.key: record for record in snapshot.records}
+        self.records.missing = missing_records.MissingRecords(missing)
+        current = {record.key for record in snapshot.records}
         deleted = [
             events.RecordRead(known.key, snapshot.revision, None)
-            for known in self.existing()
-            if known.key not in current and not self._may_be_written_again(known)
+            for known in self.records.existing()
+            if not (
+                known.key in current
+                or _may_be_written_again(self, known)
+                or self.records.may_lack(known.key)
+            )
         ]
+        for known in self.records.existing():
+            self.records.missing.discard(known.key, known.revision)
         # Deletions come first, since they make room.
         changed = self._merge((*deleted, *snapshot.records))
         size_bytes = sum(len(record.content or b'') for record in changed)
@@ -115,14 +156,46 @@
         self.history.add_gap(gap)
 
     def apply_changes(
-        self, records: tuple[events.RecordRead, ...], revision: int, now_ms: float
+        self,
+        records: tuple[events.RecordRead, ...],
+        revision: int,
+        now_ms: float,
+        missing: abc.Iterable[messages.MissingRecord] = (),
     ) -> tuple[events.RecordRead, ...]:
-        """Merge changes; return those that are newer than the known records."""
+        """Merge changes; return those that are newer than the known records.
+
+        Parameters
+        ----------
+        missing
+            Changes up to the revision that are not among the records.
+        """
         if not self.revision:
             self.history.forget_before(revision)
-        self._advance(revision, now_ms)
+        _advance(self, revision, now_ms)
+        for entry in missing:
+            _note_missing(self, entry)
         return self._merge(records)
 
+    def apply_prefix(self, read: events.PrefixRead) -> tuple[events.RecordRead, ...]:
+        """Merge the records below a prefix; return what changed, tombstones included.
+
+        The known revision stays: there may be other changes before that of the read.
+        """
+        era = revisions.era_of(read.revision)
+        if era < revisions.era_of(self.revision):
+            return ()
+        current = {record.key for record in read.records}
+        deleted = [
+            events.RecordRead(known.key, read.revision, None)
+            for known in self.records.existing()
+            if known.key.startswith(read.prefix)
+            and known.key not in current
+            and known.revision <= read.revision
+            and revisions.era_of(known.revision) == era
+        ]
+        self.records.missing.discard_below(read.prefix, read.revision)
+        return self._merge((*deleted, *read.records))
+
     def remove_lost_records(self, now_ms: float) -> tuple[events.RecordRead, ...]:
         """Remove the records that were not written again after a restore; return the tombstones."""
         if now_ms < self.lost_removed_ms:
@@ -131,7 +204,7 @@
         era = revisions.era_of(self.revision)
         lost = [
             events.RecordRead(known.key, self.revision, None)
-            for known in self.existing()
+            for known in self.records.existing()
             if revisions.era_of(known.revision) < era
         ]
         return self._merge(tuple(lost))
@@ -148,7 +221,7 @@
             self.registration_grace_until_ms = reachable_since_ms + REGISTRATION_GRACE_MS
         self.reachable = True
         self.last_contact_ms = now_ms
-        self._advance(revision, now_ms)
+        _advance(self, revision, now_ms)
 
     def mark_unreachable(self) -> None:
         """Note that a call to the store failed."""
@@ -204,15 +277,13 @@
             batches.append(store_batches.ChangeBatch(base_revision, gap.end, difference, gap.start))
             base_revision = gap.end
         batches.extend(self._split_changes(base_revision, self.revision, bytes_max))
-        return tuple(batches)
-
-    def existing(self) -> list[events.RecordRead]:
-        """Return the records without the tombstones."""
-        return [record for record in self.records.values() if record.content is not None]
+        whole = store_batches.ChangeBatch(revision, self.revision, ())
+        missing = self.records.missing.changed_between(revision, self.revision)
+        return tuple(store_batches.name_missing(batches, whole, missing))
 
     def note_unreadable(self, record: events.RecordRead) -> None:
         """Note a change to a content that no instance can read; it is kept without the content."""
-        self.records[record.key] = dataclasses.replace(record, content=b'')
+        self.records[record.key] = dataclasses.replace(record, content=record_table.UNREADABLE)
         self.note_change(record)
 
     def note_change(self, record: events.RecordRead) -> None:
@@ -238,12 +309,6 @@
         record = self.records.get(key)
         return 0 if record is None or record.content is None else record.revision
 
-    def _advance(self, revision: int, now_ms: float) -> None:
-        """Note that the store has reached a revision; a new era means that it was restored."""
-        if self.revision and revisions.era_of(revision) > revisions.era_of(self.revision):
-            self.lost_removed_ms = now_ms + RESTORE_GRACE_MS
-        self.revision = max(self.revision, revision)
-
     def _split_changes(
         self, base_revision: int, revision: int, bytes_max: int
     ) -> list[store_batches.ChangeBatch]:
@@ -257,33 +322,69 @@
         """Return the revision of the last change of a record that was more than a refresh."""
         return self.refreshed.get(record.key, record.revision)
 
-    def _may_be_written_again(self, record: events.RecordRead) -> bool:
-        """Return whether a record that the store lacks may only be lost in a restore."""
-        is_earlier = revisions.era_of(record.revision) < revisions.era_of(self.revision)
-        return is_earlier and self.lost_removed_ms < math.inf
+    def _make_room_for(self, record: events.RecordRead) -> bool:
+        """Evict records if one does not fit; return whether it may be stored."""
+        for evicted in self.records.make_room_for(record):
+            revision = self._changed_at(evicted)
+            _note_missing(self, messages.MissingRecord(evicted.key, revision, evicted.size_bytes))
+            self.refreshed.pop(evicted.key, None)
+            self.evicted.append(evicted)
+        return not record_kinds.is_evictable(record.key) or self.records.has_room_for(record)
 
     def _merge(self, records: tuple[events.RecordRead, ...]) -> tuple[events.RecordRead, ...]:
         """Store the records that are newer than the known ones; return them by revision."""
-        changed = []
+        changed: list[events.RecordRead] = []
         self.replaced.clear()
         for record in records:
             known = self.records.get(record.key)
             if known is not None and record.revision <= known.revision:
                 continue
-            if not self.records.has_room_for(record):
+            if not self._make_room_for(record):
                 self.ignored_count += 1
+                _note_missing(
+                    self, messages.MissingRecord(record.key, record.revision, record.size_bytes)
+                )
                 continue
             if known is not None:
                 self.replaced.setdefault(record.key, known.revision)
             self.records[record.key] = record
+            self.records.missing.discard(record.key, record.revision)
             changed.append(record)
-        self._prune_tombstones()
-        return tuple(sorted(changed, key=operator.attrgetter('revision')))
-
-    def _prune_tombstones(self) -> None:
-        tombstones = [record for record in self.records.values() if record.content is None]
-        excess = len(tombstones) - TOMBSTONES_MAX
-        if excess > 0:
-            for record in sorted(tombstones, key=operator.attrgetter('revision'))[:excess]:
-                self.records.pop(record.key)
-                self.history.forget_before(record.revision)
+        _prune_tombstones(self)
+        return _by_revision(changed, self.evicted)
+
+
+def _advance(replica: StoreReplica, revision: int, now_ms: float) -> None:
+    """Note that the store has reached a revision; a new era means that it was restored."""
+    if replica.revision and revisions.era_of(revision) > revisions.era_of(replica.revision):
+        replica.lost_removed_ms = now_ms + RESTORE_GRACE_MS
+    replica.revision = max(replica.revision, revision)
+
+
+def _note_missing(replica: StoreReplica, entry: messages.MissingRecord) -> None:
+    """Note a change that is missing, so that peers are told of it."""
+    if replica.records.note_missing(entry):
+        replica.changed_revision = max(replica.changed_revision, entry.revision)
+
+
+def _may_be_written_again(replica: StoreReplica, record: events.RecordRead) -> bool:
+    """Return whether a record that the store lacks may only be lost in a restore."""
+    is_earlier = revisions.era_of(record.revision) < revisions.era_of(replica.revision)
+    return is_earlier and replica.lost_removed_ms < math.inf
+
+
+def _prune_tombstones(replica: StoreReplica) -> None:
+    tombstones = [record for record in replica.records.values() if record.content is None]
+    excess = len(tombstones) - TOMBSTONES_MAX
+    if excess > 0:
+        for record in sorted(tombstones, key=operator.attrgetter('revision'))[:excess]:
+            replica.records.pop(record.key)
+            replica.history.forget_before(record.revision)
+
+
+def _by_revision(
+    changed: list[events.RecordRead], evicted: list[events.RecordRead]
+) -> tuple[events.RecordRead, ...]:
+    """Return the changed records by revision, without those that later ones have evicted."""
+    stored = [record for record in changed if not any(record is gone for gone in evicted)]
+    return tuple(sorted(stored, key=operator.attrgetter('revision')))
--- a/rhubarbspar/gateway/store/store_tasks.py
+++ b/rhubarbspar/gateway/store/store_tasks.py
@@ -136,6 +136,16 @@
             # The lease ends without renewal after ``LEASE_TTL_MS``.
             self._report_failure('leave', error)
 
+    async def read_prefix(self, prefix: str) -> None:
+        """Read the records below a prefix and deliver them; a failure is logged and counted."""
+        try:
+            found, revision = await self._client.read_all(prefix)
+        except errors.StoreError as error:
+            self._report_failure('read_prefix', error)
+            return
+        if not self._closed:
+            self._deliver(events.PrefixRead(prefix, found, revision))
+
     async def write_status(self, status: models.RolloutStatus) -> None:
         """Write the progress of a rollout, unless another instance has changed its record."""
         key = records.rollout_status_key(status.service_id)
@@ -192,7 +202,7 @@
             self._revision = max(self._revision, revision)
             self._deliver(events.StoreChanged(changes, self._revision))
             if changes:
-                await self._sleep(COALESCE_DELAY_S)
+                await _sleep(self._reactor, COALESCE_DELAY_S)
 
     async def _renew_registration(self) -> None:
         """Renew the lease; after its end or a restore of the store, register with a new lease."""
@@ -223,7 +233,7 @@
         """Wait until the lease has to be renewed, or the store was restored."""
         waited_s = 0.0
         while waited_s < RENEW_INTERVAL_S and self._registered_era == self._known_era():
-            await self._sleep(RESTORE_CHECK_S)
+            await _sleep(self._reactor, RESTORE_CHECK_S)
             waited_s += RESTORE_CHECK_S
 
     def _known_era(self) -> int:
@@ -247,7 +257,9 @@
 
     async def _wait_before_retry(self) -> None:
         # Random jitter keeps the instances from calling the store again at the same time.
-        await self._sleep(RETRY_MIN_S + random.uniform(0, RETRY_JITTER_S))  # noqa: S311
+        delay_s = RETRY_MIN_S + random.uniform(0, RETRY_JITTER_S)  # noqa: S311
+        await _sleep(self._reactor, delay_s)
+
 
-    def _sleep(self, duration_s: float) -> 'defer.Deferred[None]':
-        return task.deferLater(self._reactor, duration_s, lambda: None)
+def _sleep(reactor: typing.Any, duration_s: float) -> 'defer.Deferred[None]':
+    return task.deferLater(reactor, duration_s, lambda: None)
--- a/rhubarbspar/platform/const.py
+++ b/rhubarbspar/platform/const.py
@@ -27,9 +27,13 @@
 PREFIX_ALL: typing.Final = ''
 KEY_CONFIGURATION: typing.Final = 'op/config'
 PREFIX_EVACUATION: typing.Final = 'op/evacuate/'
+# Records that operators write.
+PREFIX_OPERATOR: typing.Final = 'op/'
 PREFIX_ROLLOUT: typing.Final = 'op/rollout/'
 PREFIX_ROLLOUT_STATUS: typing.Final = 'status/rollout/'
 PREFIX_SERVER: typing.Final = 'servers/'
+# Records of the instances themselves.
+PREFIX_FLEET: typing.Final = 'fleet/'
 PREFIX_MEMBER: typing.Final = 'fleet/instances/'
 KEY_FLEET: typing.Final = 'fleet/key'
 
