Report the usage of client accounts by one holder

Deployments may demand one report of requests by account for each window. Count the attempts that began to run, pass the counts along the tree as a set of parts, and let the holder of a fenced duty decide, write and send them. Without usage_api in the settings nothing of it runs.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -29,6 +29,7 @@
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import store_tasks
 from rhubarbspar.gateway import supervision
+from rhubarbspar.gateway.usage import tasks as usage_tasks
 from rhubarbspar.helpers import logs
 from rhubarbspar.peers import transport as peer_transport
 from rhubarbspar.platform import store
@@ -89,21 +90,23 @@
         self._backends = backend_client.BackendClient(
             reactor, deliver, clock_ms, self._budget, self._limits.servers
         )
+        store_client = store.Store(
+            reactor,
+            settings.store_address,
+            clock_ms,
+            store_limits,
+            self._budget,
+            self._limits.store,
+        )
         self._store = store_tasks.StoreTasks(
             reactor,
-            store.Store(
-                reactor,
-                settings.store_address,
-                clock_ms,
-                store_limits,
-                self._budget,
-                self._limits.store,
-            ),
+            store_client,
             self._member,
             deliver,
             self._driver.report,
         )
         self._driver.connect(self._callers, self._backends, self._store)
+        self._driver.usage = self._make_usage_tasks(store_client)
         self._listeners = listeners.Listeners(
             reactor,
             self._state,
@@ -137,6 +140,8 @@
         self._listeners.close()
         self._backends.close()
         self._store.close()
+        if self._driver.usage is not None:
+            self._driver.usage.close()
 
     def request_stop(self) -> None:
         """Begin a planned stop; the process exits at once if its ports are not open yet."""
@@ -163,6 +168,22 @@
         self._driver.report(core_effects.Log('settings_loaded'))
         self._report_defaults()
 
+    def _make_usage_tasks(self, client: store.Store) -> usage_tasks.UsageTasks | None:
+        """Return what makes the calls of the usage reports, if the deployment has them."""
+        usage = self._state.usage
+        if usage is None:
+            return None
+        self._counters.add_gauges(usage.read_gauges)
+        address = usage.settings.api_address
+        return usage_tasks.UsageTasks(
+            self._member.instance_id,
+            client,
+            usage_tasks.make_api(self._reactor, address, clock_ms, self._budget),
+            clock_ms,
+            self._driver.deliver,
+            self._driver.report,
+        )
+
     def _load_changed_settings(self) -> None:
         """Reload settings that have changed since they were first read.
 
@@ -253,7 +274,8 @@
         self._last_tick_ms = now_ms
         self._store.advance_to(self._state.replica.revision)
         unsent_count = self._listeners.unsent_count if self._state.is_stopping else 0
-        self._driver.deliver(events.ClockTicked(paused_ms, unsent_count))
+        unix_ms = time.time() * package_const.MS_PER_S
+        self._driver.deliver(events.ClockTicked(paused_ms, unsent_count, unix_ms))
 
     def _sweep(self) -> None:
         self._listeners.close_expired()
--- a/rhubarbspar/gateway/driver.py
+++ b/rhubarbspar/gateway/driver.py
@@ -22,6 +22,8 @@
 from rhubarbspar.gateway.serving import peer_forwards
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import store_tasks
+from rhubarbspar.gateway.usage import effects as usage_effects
+from rhubarbspar.gateway.usage import tasks as usage_tasks
 from rhubarbspar.helpers import logs
 from rhubarbspar.server import metrics
 
@@ -67,6 +69,7 @@
         """Create a driver; ``connect`` sets the parts that do I/O before the first event."""
         self.state = state
         self.transport: PeerTransport | None = None
+        self.usage: usage_tasks.UsageTasks | None = None
         self.forwards = peer_forwards.PeerForwards(self.deliver, state.fleet.own_member.instance_id)
         self._clock_ms = clock_ms
         self._counters = counters
@@ -202,6 +205,8 @@
         match effect:
             case effects.WriteStatus(status):
                 self._run_in_background(self._store.write_status(status))
+            case usage_effects.UsageEffect() if self.usage is not None:
+                self.usage.apply(effect)
             case effects.FollowStore(enabled):
                 self._store.switch_following(following=enabled)
             case effects.RefreshStore():
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -174,7 +174,10 @@
         By how much it fired late.
     unsent_count
         Connections with a response that is not sent yet; counted during a planned stop only.
+    unix_ms
+        Time of day since the start of 1970, which may jump.
     """
 
     paused_ms: float = 0
     unsent_count: int = 0
+    unix_ms: float = 0
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -17,6 +17,9 @@
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import record_table
 from rhubarbspar.gateway.store import store_replica
+from rhubarbspar.gateway.usage import messages as usage_messages
+from rhubarbspar.gateway.usage import models as usage_models
+from rhubarbspar.gateway.usage import state as usage_state
 from rhubarbspar.helpers import addresses
 from rhubarbspar.http1 import memory
 from rhubarbspar.peers import registry
@@ -44,9 +47,24 @@
             records=record_table.RecordTable(store_limits.records_max_bytes)
         ),
         rollouts=rollouts.Rollouts(exposure=exposure_limits(settings)),
+        usage=_usage(settings, member),
     )
 
 
+def _usage(
+    settings: gateway_settings.Settings, member: models.Member
+) -> usage_state.UsageState | None:
+    """Return the state of the usage reports, if the deployment has them."""
+    api = settings.usage_api
+    if api is None:
+        return None
+    bounds = settings.bounds
+    usage_settings = usage_models.UsageSettings(
+        api.address, bounds.report_window, bounds.usage_late, bounds.lease_time, api.calls_per_s
+    )
+    return usage_state.create(usage_settings, member.instance_id, member.incarnation)
+
+
 def exposure_limits(settings: gateway_settings.Settings) -> rollout_schedule.ExposureLimits:
     """Return the requests that a bad version may get."""
     bounds = settings.bounds
@@ -95,7 +113,7 @@
 
 def peer_message_types() -> registry.MessageTypes:
     """Return the messages that gateways exchange, by type name."""
-    return registry.collect_message_types((messages,))
+    return registry.collect_message_types((messages, usage_messages))
 
 
 def peer_settings(
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -16,6 +16,9 @@
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import store_records
 from rhubarbspar.gateway.store import store_relay
+from rhubarbspar.gateway.usage import events as usage_events
+from rhubarbspar.gateway.usage import messages as usage_messages
+from rhubarbspar.gateway.usage import reports
 
 
 def reduce(
@@ -93,6 +96,8 @@
         case events.StoreLost(reason):
             outputs = store_relay.note_store_lost(state, reason)
             return [*outputs, *gossip.send_heartbeats(state, now_ms)] if outputs else []
+        case usage_events.UsageEvent():
+            return reports.finish_call(state, event, now_ms)
         case _:
             return []
 
@@ -135,6 +140,10 @@
             return store_relay.note_acknowledgement(state, peer_id, received, now_ms)
         case core_events.MessageReceived(peer_id, messages.CrashSeen() as crash):
             return gossip.note_crash(state, peer_id, crash, now_ms)
+        case core_events.MessageReceived(
+            peer_id, usage_messages.UsagePart() | usage_messages.UsageStatus() as usage_message
+        ):
+            return reports.receive(state, peer_id, usage_message, now_ms)
         case core_events.PeerConnected(peer_id):
             return gossip.note_peer_connected(state, peer_id, now_ms)
         case core_events.PeerDisconnected(peer_id):
@@ -157,8 +166,8 @@
     outputs.extend(store_records.remove_lapsed_servers(state, now_ms))
     outputs.extend(_check_attempts(state, now_ms))
     outputs.extend(gossip.tick(state, now_ms))
-    outputs.extend(lifecycle.tick(state, ticked.unsent_count, now_ms))
-    return outputs
+    outputs.extend(reports.tick(state, ticked.unix_ms, now_ms))
+    return outputs + lifecycle.tick(state, ticked.unsent_count, now_ms)
 
 
 def _check_attempts(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
--- a/rhubarbspar/gateway/serving/dispatch.py
+++ b/rhubarbspar/gateway/serving/dispatch.py
@@ -21,6 +21,7 @@
 from rhubarbspar.gateway.serving import responses
 from rhubarbspar.gateway.serving import retries
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.usage import reports
 
 # Results of attempts that neither the server nor the way to it has failed.
 _NOT_AT_SERVER: typing.Final = frozenset(
@@ -206,6 +207,7 @@
         choice.load >= choice.view.slots,
         state.rollouts.result_key(choice.view.server, pending.route.route_id),
         forwarders.choose(state, pending, choice.view.server, now_ms),
+        wait_ms=choice.wait_ms,
     )
 
 
@@ -297,6 +299,7 @@
         state.attempts.pop(attempt.attempt_number, None)
         attempt.release()
         version_results.record_given_up(state, attempt, now_ms)
+        reports.record_given_up(state, attempt, now_ms)
         outputs.append(effects.CancelAttempt(attempt.attempt_number))
     return outputs
 
--- a/rhubarbspar/gateway/serving/outcomes.py
+++ b/rhubarbspar/gateway/serving/outcomes.py
@@ -14,6 +14,7 @@
 from rhubarbspar.gateway.routing import server_notices
 from rhubarbspar.gateway.routing import servers
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.usage import reports
 
 # Results of a connection that could not be opened or has failed.
 _CONNECTION_FAILURES: typing.Final = frozenset(
@@ -46,6 +47,7 @@
     view = attempt.view
     attempt.release()
     version_results.record_end(state, attempt, ended, now_ms)
+    reports.record_end(state, attempt, ended, now_ms)
     outputs = _record_reports(state, view, ended, now_ms)
     outputs.extend(server_notices.record(state, view, ended, now_ms))
     if ended.connect_ms is not None and attempt.forwarder is None:
--- a/rhubarbspar/gateway/settings.py
+++ b/rhubarbspar/gateway/settings.py
@@ -10,6 +10,7 @@
 from rhubarbspar.helpers import settings_file
 from rhubarbspar.helpers import validators
 from rhubarbspar.platform import bounds as platform_bounds
+from rhubarbspar.platform import usage
 
 CONF_BOUNDS: typing.Final = 'bounds'
 CONF_CALLER_ADDRESS: typing.Final = 'caller_address'
@@ -25,6 +26,7 @@
 CONF_REGION: typing.Final = 'region'
 CONF_REGIONS: typing.Final = 'regions'
 CONF_STORE_ADDRESS: typing.Final = 'store_address'
+CONF_USAGE_API: typing.Final = 'usage_api'
 
 DEFAULT_LOG_LEVEL: typing.Final = 'INFO'
 LOG_LEVELS: typing.Final = ('CRITICAL', 'DEBUG', 'ERROR', 'INFO', 'WARNING')
@@ -49,6 +51,11 @@
         ``exposure_allowance`` in the time of its rollout.
     store_content_bytes
         Size of the largest content of a record in the store; larger answers of it are not read.
+    report_window, usage_late
+        Length of the windows whose usage is reported, and how long after its end the report of one
+        is due, milliseconds.
+    lease_time
+        Time in which the holder of a duty must not change twice, milliseconds.
     """
 
     stop_grace: float = 6000
@@ -58,6 +65,9 @@
     exposure_ratio: float = 0.05
     exposure_allowance: float = 20
     store_content_bytes: float = 1_048_576
+    report_window: float = 5000
+    usage_late: float = 10_000
+    lease_time: float = 3000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +83,8 @@
         Region of each failure domain.
     store_address
         ``host:port`` of the platform's key-value store.
+    usage_api
+        Where the usage of client accounts is reported; ``None`` if it is not.
     defaulted_bounds
         Names of the bounds that the file does not give.
     """
@@ -89,6 +101,7 @@
     readiness_address: str
     store_address: str
     bounds: Bounds = Bounds()
+    usage_api: usage.Api | None = None
     defaulted_bounds: tuple[str, ...] = ()
     log_level: str = DEFAULT_LOG_LEVEL
 
@@ -128,13 +141,16 @@
     for given in members.pop(CONF_PLATFORM_BOUNDS, ()):
         merged.update(given)
     merged.update(members.get(CONF_BOUNDS, {}))
-    defaulted = tuple(name for name in _BOUND_NAMES if name not in merged)
+    # Bounds of the usage reports concern only deployments that have them.
+    ignored = () if members.get(CONF_USAGE_API) else _USAGE_BOUNDS
+    defaulted = tuple(name for name in _BOUND_NAMES if name not in merged and name not in ignored)
     return {**members, CONF_BOUNDS: merged, 'defaulted_bounds': defaulted}
 
 
 _NO_SECRETS: typing.Final[types.MappingProxyType[str, int]] = types.MappingProxyType({})
 _BOUND_NAMES: typing.Final = tuple(field.name for field in dataclasses.fields(Bounds))
-_DURATIONS: typing.Final = frozenset(('retry_window', 'stop_grace'))
+_USAGE_BOUNDS: typing.Final = frozenset(('lease_time', 'report_window', 'usage_late'))
+_DURATIONS: typing.Final = frozenset(('retry_window', 'stop_grace', *_USAGE_BOUNDS))
 _BOUNDS: typing.Final = voluptuous.Schema(
     {
         voluptuous.Optional(name): validators.duration_ms
@@ -159,6 +175,7 @@
         voluptuous.Required(CONF_REGION): validators.identifier,
         voluptuous.Required(CONF_REGIONS): {validators.identifier: validators.identifier},
         voluptuous.Required(CONF_STORE_ADDRESS): validators.address,
+        voluptuous.Optional(CONF_USAGE_API): usage.decode_api,
     }
 )
 _SCHEMA: typing.Final = voluptuous.Schema(voluptuous.All(_MEMBERS, _merge_bounds))
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -23,6 +23,7 @@
 from rhubarbspar.gateway.routing import servers as server_views
 from rhubarbspar.gateway.routing import traffic_shifts
 from rhubarbspar.gateway.store import store_replica
+from rhubarbspar.gateway.usage import state as usage_state
 
 Record: typing.TypeAlias = (
     models.Configuration
@@ -92,6 +93,8 @@
         Whether the results of its version include it as late already.
     noted_silent
         Whether its server counts as silent because of it already.
+    wait_ms
+        Expected time in the queue of the server.
     """
 
     request_number: int
@@ -108,6 +111,7 @@
     is_running: bool = True
     counted_late: bool = False
     noted_silent: bool = False
+    wait_ms: float = 0
 
     def release(self) -> None:
         """Count the attempt as running no more, at its server and its forwarder."""
@@ -239,6 +243,8 @@
         Whether this instance watches the store itself.
     limits_updated_ms
         When the shares of the servers' rate limits were last updated.
+    usage
+        Usage reports; ``None`` in a deployment without them.
     """
 
     decode: abc.Callable[[str, bytes, int], Record | None]
@@ -279,6 +285,7 @@
     last_attempt_number: int = 0
     is_store_follower: bool = True
     limits_updated_ms: float = -math.inf
+    usage: usage_state.UsageState | None = None
 
     @property
     def is_stopping(self) -> bool:
--- a/rhubarbspar/gateway/store/store_tasks.py
+++ b/rhubarbspar/gateway/store/store_tasks.py
@@ -182,7 +182,7 @@
             self._revision = revision
             log_fields = (('era', self._client.era), ('revision', revision))
             self._report(core_effects.Log('store_read', (*log_fields, ('records', len(snapshot)))))
-            self._deliver(events.StoreSnapshot(snapshot, revision))
+            self._deliver(events.StoreSnapshot(records.without_duties(snapshot), revision))
         wait_ms = FIRST_WATCH_WAIT_MS
         while self._following and not self._closed:
             changes, revision = await self._client.watch(
@@ -190,7 +190,8 @@
             )
             wait_ms = WATCH_WAIT_MS
             self._revision = max(self._revision, revision)
-            self._deliver(events.StoreChanged(changes, self._revision))
+            news = records.without_duties(changes)
+            self._deliver(events.StoreChanged(news, self._revision))
             if changes:
                 await self._sleep(COALESCE_DELAY_S)
 
--- a/rhubarbspar/platform/records.py
+++ b/rhubarbspar/platform/records.py
@@ -7,6 +7,7 @@
 import reprlib
 import typing
 
+from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
 from rhubarbspar.helpers import durations
 from rhubarbspar.platform import const
@@ -81,6 +82,16 @@
     return const.PREFIX_MEMBER + instance_id
 
 
+def without_duties(read: tuple[events.RecordRead, ...]) -> tuple[events.RecordRead, ...]:
+    """Return the records without those of the duties, which only their holders need.
+
+    They change about every second and are not passed on in the fleet.
+    """
+    if not any(record.key.startswith(const.PREFIX_USAGE) for record in read):
+        return read
+    return tuple(record for record in read if not record.key.startswith(const.PREFIX_USAGE))
+
+
 def _find_decoder(key: str) -> typing.Callable[[str, Document, int], Record] | None:
     if key == const.KEY_CONFIGURATION:
         return _decode_configuration
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's key-value store."""
 
 import base64
+import dataclasses
 import json
 import typing
 from collections import abc
@@ -35,6 +36,22 @@
 _STALE_ALLOWED: typing.Final = '1'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Condition:
+    """Revision that a key must have; 0 if it must not exist."""
+
+    key: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Put:
+    """A record to write."""
+
+    key: str
+    content: bytes
+
+
 class Store:
     """Awaitable calls to the store; all raise ``StoreError`` if they fail.
 
@@ -172,6 +189,49 @@
             raise
         return True
 
+    async def transact(
+        self,
+        conditions: tuple[Condition, ...],
+        puts: tuple[Put, ...],
+        deleted_keys: tuple[str, ...] = (),
+    ) -> int | None:
+        """Write and delete records if all conditions hold.
+
+        Returns
+        -------
+        int or None
+            Revision of the store after the write; ``None`` if a condition does not hold.
+
+        Raises
+        ------
+        errors.RestoredError
+            If the store was restored since the last call, so that numbers of revisions may have
+            been given out again.
+        """
+        era = self.era
+        if any(each.revision and revisions.era_of(each.revision) != era for each in conditions):
+            return None
+        body = {
+            'expectedRevision': [
+                {'key': each.key, 'revision': revisions.number_in_era(each.revision)}
+                for each in conditions
+            ],
+            'puts': [
+                {'key': put.key, 'value': base64.b64encode(put.content).decode(), 'lease': 0}
+                for put in puts
+            ],
+            'deleteKeys': list(deleted_keys),
+        }
+        try:
+            answer = await self._exchange(b'POST', '/kv-txn', {}, body)
+        except errors.StoreRejectedError as error:
+            if error.status == const.STATUS_CONFLICT:
+                return None
+            raise
+        if era and answer.era != era:
+            raise errors.RestoredError('the store was restored since the last call')
+        return answer.revision
+
     async def grant_lease(self, ttl_ms: float) -> int:
         """Create a lease and return its id."""
         body = {'ttl_time': durations.format_ms(ttl_ms)}
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -153,8 +153,9 @@
             store_model.Put(put['key'].encode(), base64.b64decode(put['value']), put['lease'])
             for put in body['puts']
         ]
+        deletes = [store_model.Delete((key.encode(), b'')) for key in body['deleteKeys']]
         try:
-            self._write(puts)
+            self._write([*puts, *deletes])
         except errors.StoreCallError:
             return _status(404)
         return self._json({'revision': self.database.revision})
