--- a/rhubarbspar/platform/usage.py
+++ b/rhubarbspar/platform/usage.py
@@ -48,8 +48,8 @@
 )
 
 
-def decode_api(raw: typing.Any) -> Api | None:
-    """Return where reports are sent; ``None`` if the deployment has no duty to report.
+def decode_api(raw: typing.Any) -> dict[str, typing.Any] | None:
+    """Return the members of ``Api``; ``None`` if the deployment has no duty to report.
 
     Raises
     ------
@@ -60,7 +60,7 @@
         return None
     known = _API(raw)
     calls_per_s = known.get('dutyPerS') or _DEFAULT_CALLS_PER_S
-    return Api(known['address'], max(_CALLS_PER_S_MIN, calls_per_s))
+    return {'address': known['address'], 'calls_per_s': max(_CALLS_PER_S_MIN, calls_per_s)}
 
 
 def window_key(window_id: int) -> str:
