--- a/rhubarbspar/gateway/driver.py
+++ b/rhubarbspar/gateway/driver.py
@@ -22,6 +22,8 @@
 from rhubarbspar.gateway.serving import peer_forwards
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import store_tasks
+from rhubarbspar.gateway.usage import effects as usage_effects
+from rhubarbspar.gateway.usage import tasks as usage_tasks
 from rhubarbspar.helpers import logs
 from rhubarbspar.server import metrics
 
@@ -42,6 +44,15 @@
     exit: abc.Callable[[], None]
 
 
+_StoreEffect: typing.TypeAlias = (
+    effects.WriteStatus
+    | effects.FollowStore
+    | effects.ReadPrefix
+    | effects.RefreshStore
+    | effects.Leave
+)
+
+
 class Driver:
     """Feeds events to the reducer and passes its effects to the parts that do I/O.
 
@@ -67,6 +78,7 @@
         """Create a driver; ``connect`` sets the parts that do I/O before the first event."""
         self.state = state
         self.transport: PeerTransport | None = None
+        self.usage: usage_tasks.UsageTasks | None = None
         self.forwards = peer_forwards.PeerForwards(self.deliver, state.fleet.own_member.instance_id)
         self._clock_ms = clock_ms
         self._counters = counters
@@ -198,7 +210,7 @@
             case effects.ProbeServer():
                 self._backends.probe(effect)
 
-    def _carry_out_other(self, effect: core_effects.Effect) -> None:
+    def _carry_out_store_effect(self, effect: _StoreEffect) -> None:
         match effect:
             case effects.WriteStatus(status):
                 self._run_in_background(self._store.write_status(status))
@@ -210,6 +222,19 @@
                 self._store.reconnect()
             case effects.Leave():
                 self._run_in_background(self._store.deregister())
+
+    def _carry_out_other(self, effect: core_effects.Effect) -> None:
+        match effect:
+            case (
+                effects.WriteStatus()
+                | effects.FollowStore()
+                | effects.ReadPrefix()
+                | effects.RefreshStore()
+                | effects.Leave()
+            ):
+                self._carry_out_store_effect(effect)
+            case usage_effects.UsageEffect() if self.usage is not None:
+                self.usage.apply(effect)
             case effects.CloseIdleCallers():
                 self._process.close_idle_callers()
             case effects.StopListening():
--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -193,8 +193,11 @@
         Connections with a response that is not sent yet; counted during a planned stop only.
     is_memory_short
         Whether a connection waits for memory to read on.
+    unix_ms
+        Time of day since the start of 1970, which may jump.
     """
 
     paused_ms: float = 0
     unsent_count: int = 0
     is_memory_short: bool = False
+    unix_ms: float = 0
