Read operators' records from the store when a peer has newer ones

Seen by callers: where an instance claims a revision of which it lacks a change, an old configuration stays in force there, and in all instances that follow its claim, until the next change of the same record.

Cause: what is missing is only asked for if the claimed revision shows it.

Change: heartbeats carry the newest revision of the operators' records that the sender has (new last field). An instance that is behind a peer for 600 ms reads the prefix from the store, at most once a second while that lasts, and logs `operator_records_behind` with the revisions, the time and the age of the heartbeat. A successful read counts as the revision of the store, so that a tombstone of a peer causes one read only.

--- a/rhubarbspar/gateway/membership/fleet.py
+++ b/rhubarbspar/gateway/membership/fleet.py
@@ -83,6 +83,8 @@
         Since when it has been reported, without a gap, to reach the store.
     complete_from
         Store revision after which the peer knows all changes.
+    operator_revision
+        Newest store revision of the operators' records that the peer has.
     links_lost
         Whether it has lost its links to the backend servers.
     forwards_running
@@ -114,6 +116,7 @@
     leaving: bool = False
     store_reachable_since_ms: float = math.inf
     complete_from: int = 0
+    operator_revision: int = messages.UNKNOWN_REVISION
     links_lost: bool = False
     forwards_running: int = 0
     forwarded_ms: float = -math.inf
@@ -139,6 +142,7 @@
         self.leaving = heartbeat.leaving
         self.links_lost = heartbeat.links_lost
         self.complete_from = heartbeat.complete_from
+        self.operator_revision = heartbeat.operator_revision
 
     def record_forward(self, now_ms: float) -> None:
         """Count an attempt that the peer is to pass on."""
--- a/rhubarbspar/gateway/membership/gossip.py
+++ b/rhubarbspar/gateway/membership/gossip.py
@@ -172,7 +172,7 @@
         _forget_replaced_sums(state, now_ms)
     outputs.extend(topology.connection_effects(state.fleet, now_ms))
     outputs.extend(store_relay.update_following(state, now_ms))
-    outputs.extend(store_recovery.read_missing(state, now_ms))
+    outputs.extend(store_recovery.tick(state, now_ms))
     return outputs
 
 
@@ -330,6 +330,7 @@
         _ids(peer for peer in live if peer.links_lost),
         state.replica.complete_from,
         state.replica.changed_revision,
+        state.replica.records.operator_revision,
     )
 
 
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -125,6 +125,9 @@
     changed_revision
         Store revision of the last change that the sender relays; ``UNKNOWN_REVISION`` from a
         release that does not report it.
+    operator_revision
+        Newest store revision of the operators' records that the sender has;
+        ``UNKNOWN_REVISION`` from a release that does not report it.
     """
 
     incarnation: str
@@ -145,6 +148,7 @@
     links_lost_ids: tuple[str, ...] = ()
     complete_from: int = 0
     changed_revision: int = UNKNOWN_REVISION
+    operator_revision: int = UNKNOWN_REVISION
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/store/record_table.py
+++ b/rhubarbspar/gateway/store/record_table.py
@@ -45,6 +45,8 @@
         records and for tombstones.
     missing
         Records that exist in the store and are not in the table, or only in an older version.
+    operator_revision
+        Newest revision of the operators' records that were stored, deletions included.
     """
 
     def __init__(self, max_bytes: float = math.inf) -> None:
@@ -52,6 +54,7 @@
         super().__init__()
         self.max_bytes = max_bytes
         self.size_bytes = 0
+        self.operator_revision = 0
         self.missing = missing_records.MissingRecords()
         # Records in the order of eviction, outdated ones included; None while there was room.
         self._candidates: list[Candidate] | None = None
@@ -60,6 +63,8 @@
         """Store a record instead of the one that has its key."""
         self.size_bytes += record.size_bytes - self._known_bytes(key)
         self.data[key] = record
+        if record_kinds.is_operator_record(key):
+            self.operator_revision = max(self.operator_revision, record.revision)
         if self._candidates is not None and _is_candidate(record):
             heapq.heappush(self._candidates, _make_candidate(record))
 
--- a/rhubarbspar/gateway/store/store_recovery.py
+++ b/rhubarbspar/gateway/store/store_recovery.py
@@ -3,6 +3,7 @@
 Pattern: repair by direct reads, at a bounded rate.
 """
 
+import operator
 import typing
 
 from rhubarbspar import const as package_const
@@ -12,6 +13,7 @@
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import missing_records
 from rhubarbspar.gateway.store import store_records
+from rhubarbspar.platform import const as platform_const
 
 # 300 instances that lack records read 1,200 of them a second; the store serves 2,000 reads.
 MISSING_READ_INTERVAL_MS: typing.Final = 1000
@@ -20,7 +22,12 @@
 FULL_READ_INTERVAL_MS: typing.Final = 30_000
 
 
-def read_missing(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+def tick(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    """Return the reads of the store that are due."""
+    return [*_read_missing(state, now_ms), *_check_operator_records(state, now_ms)]
+
+
+def _read_missing(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Read records that were left out, as far as there is room for them now."""
     replica = state.replica
     if not replica.records.missing:
@@ -51,12 +58,40 @@
     return [core_effects.Log('missing_records_read', log_fields), *reads]
 
 
+def _check_operator_records(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
+    """Read the records of operators if a peer has had newer ones for too long."""
+    heard = [peer for peer in state.fleet.peers.values() if peer.is_heard(now_ms)]
+    if not heard or not state.replica.revision:
+        return []
+    peer = max(heard, key=operator.attrgetter('operator_revision'))
+    check = state.replica.operator_comparison
+    own_revision = state.replica.records.operator_revision
+    check.compare(own_revision, peer.operator_revision, now_ms)
+    if not check.is_read_due(now_ms):
+        return []
+    check.read_ms = now_ms
+    log_fields = (
+        ('peer', peer.member.instance_id),
+        ('peer_revision', peer.operator_revision),
+        ('own_revision', own_revision),
+        ('behind_ms', now_ms - check.behind_since_ms),
+        ('age_ms', now_ms - peer.last_heartbeat_ms),
+    )
+    return [
+        core_effects.Log('operator_records_behind', log_fields),
+        core_effects.Count(package_const.METRIC_EVENTS, 'operator_records_behind'),
+        effects.ReadPrefix(platform_const.PREFIX_OPERATOR),
+    ]
+
+
 def apply_prefix(
     state: gateway_state.State, read: events.PrefixRead, now_ms: float
 ) -> list[core_effects.Effect]:
     """Apply the records below a prefix that this instance has read."""
     known_revision = state.replica.revision
     changed = state.replica.apply_prefix(read)
+    if platform_const.PREFIX_OPERATOR.startswith(read.prefix):
+        state.replica.operator_comparison.note_read(read.revision)
     log_fields = (
         ('prefix', read.prefix),
         ('revision', read.revision),
--- a/rhubarbspar/gateway/store/store_replica.py
+++ b/rhubarbspar/gateway/store/store_replica.py
@@ -13,6 +13,7 @@
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway.store import change_history
 from rhubarbspar.gateway.store import missing_records
+from rhubarbspar.gateway.store import operator_check
 from rhubarbspar.gateway.store import record_kinds
 from rhubarbspar.gateway.store import record_table
 from rhubarbspar.gateway.store import revisions
@@ -74,6 +75,8 @@
         Records that were removed for lack of room since this was last cleared.
     prefix_read_ms
         When missing records were last asked for.
+    operator_comparison
+        Comparison of the records of operators with those of the peers.
     """
 
     revision: int = 0
@@ -92,6 +95,9 @@
     replaced: dict[str, int] = dataclasses.field(default_factory=dict)
     evicted: list[events.RecordRead] = dataclasses.field(default_factory=list)
     prefix_read_ms: float = float('-inf')
+    operator_comparison: operator_check.OperatorCheck = dataclasses.field(
+        default_factory=operator_check.OperatorCheck
+    )
 
     @property
     def complete_from(self) -> int:
--- a/tests/gateway/fleet_network.py
+++ b/tests/gateway/fleet_network.py
@@ -58,6 +58,8 @@
         Links of the instances on which their messages wait, if they have rates.
     sent_changes
         How often each message with changes was sent to an instance.
+    prefix_reads
+        How often the store was asked for the records below each prefix.
     applied_ms
         When each instance put each version of the configuration in force.
     """
@@ -68,6 +70,7 @@
         self.uplinks = {}
         self.sent_changes = collections.Counter()
         self.applied_ms = collections.defaultdict(dict)
+        self.prefix_reads = collections.Counter()
         self.now_ms = 1_000_000.0
         self.random = random.Random(seed)
         self.instances = {}
@@ -249,6 +252,8 @@
                     self._connect(instance_id, peer_id)
                 case core_effects.ClosePeer(peer_id):
                     self._disconnect(frozenset((instance_id, peer_id)))
+                case effects.ReadPrefix(prefix) if instance_id not in self.turned_away:
+                    self._later(instance_id, self._prefix_read(prefix))
                 case effects.FollowStore(enabled):
                     self.instances[instance_id].following = enabled
                     if enabled:
@@ -319,6 +324,14 @@
                 self.uplinks[instance_id].clear(other_id)
             self._later(instance_id, core_events.PeerDisconnected(other_id))
 
+    def _prefix_read(self, prefix):
+        """Return the records of the store below a prefix."""
+        self.prefix_reads[prefix] += 1
+        existing = tuple(
+            record for record in self._snapshot().records if record.key.startswith(prefix)
+        )
+        return events.PrefixRead(prefix, existing, self.store_revision)
+
     def _snapshot(self):
         """Return all records of the store; it does not list deleted keys."""
         existing = tuple(
--- a/tests/gateway/store/test_store_tasks.py
+++ b/tests/gateway/store/test_store_tasks.py
@@ -4,8 +4,11 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from rhubarbspar.core import effects as core_effects
+from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway.store import store_tasks
+from rhubarbspar.platform import errors
 
 MEMBER = models.Member('front-1', 'a', 'almaty-a', 'almaty', '10.0.0.1:80', '10.0.0.1:81')
 LEASE = 7
@@ -73,3 +76,36 @@
             answered.callback(LEASE)
     clock.pump([1] * 60)
     assert client.names() == calls
+
+
+class Prefixes:
+    """A client whose reads of a prefix return a value, or raise it if it is an error."""
+
+    era = 1
+
+    def __init__(self, outcome):
+        """Store the outcome of all reads."""
+        self._outcome = outcome
+
+    async def read_all(self, _prefix):
+        """Return all records below a prefix."""
+        if isinstance(self._outcome, Exception):
+            raise self._outcome
+        return self._outcome
+
+
+@pytest.mark.parametrize('is_failing', [False, True])
+def test_read_of_a_prefix_is_delivered_or_reported(is_failing):
+    """Guards against a failed read that nobody sees, or that ends another task."""
+    record = events.RecordRead('op/config', 7, b'1')
+    client = Prefixes(errors.StoreError('refused') if is_failing else ((record,), 9))
+    delivered = []
+    reported = []
+    tasks = store_tasks.StoreTasks(task.Clock(), client, MEMBER, delivered.append, reported.append)
+    defer.Deferred.fromCoroutine(tasks.read_prefix('op/'))
+    if is_failing:
+        assert not delivered
+        assert core_effects.Count('store_failures', 'read_prefix') in reported
+    else:
+        assert delivered == [events.PrefixRead('op/', (record,), 9)]
+        assert not reported
