Choose different servers at instances with the same load reports

Cause: instances that saw the same reports sent their requests to the same servers until these were full. The samples of large groups also began with the same servers at every instance, and again after each change of the servers.

Change: among servers that are equally near, equally expected to have the object cached, and have no more requests of this instance than the best, the cost varies at random by up to a processing time, the more the older the report is. The order of the samples differs between instances. The random numbers are seeded by the instance's id, so the reducer stays deterministic.

--- a/rhubarbspar/gateway/routing/groups.py
+++ b/rhubarbspar/gateway/routing/groups.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import itertools
+import random
 import typing
 from collections import abc
 
@@ -64,22 +65,32 @@
         The servers.
     network
         Regions of the failure domains, and the region of this instance.
+    seed
+        Seed of the order in which servers are sampled and of the choice among equal servers. It
+        differs between instances, so that those with the same load reports choose different ones.
     """
 
     def __init__(
-        self, views: abc.Iterable[servers.ServerView], network: selection.NetworkTopology
+        self,
+        views: abc.Iterable[servers.ServerView],
+        network: selection.NetworkTopology,
+        seed: str = '',
     ) -> None:
         """Index the servers by id, version and distance."""
+        self.random = random.Random(seed)  # noqa: S311 (spreads load, keeps no secret)
         self.views = tuple(views)
         self.by_id = {view.server.server_id: view for view in self.views}
         self.versions = collections.Counter(view.server.version for view in self.views)
         self._network = network
+        self._seed = seed
         same_region = [
             view for view in self.views if network.is_in_own_region(view.server.failure_domain)
         ]
         other_regions = [
             view for view in self.views if not network.is_in_own_region(view.server.failure_domain)
         ]
+        self.random.shuffle(same_region)
+        self.random.shuffle(other_regions)
         self._same_region = _RoundRobin(same_region)
         self._other_regions = _RoundRobin(other_regions)
         self._by_version: dict[str, ServerGroup] = {}
@@ -93,7 +104,7 @@
         cached = self._by_version.get(version)
         if cached is None:
             views = [view for view in self.views if view.server.version == version]
-            cached = ServerGroup(views, self._network)
+            cached = ServerGroup(views, self._network, f'{self._seed}/{version}')
             self._by_version[version] = cached
         return cached
 
--- a/rhubarbspar/gateway/routing/placement.py
+++ b/rhubarbspar/gateway/routing/placement.py
@@ -138,7 +138,8 @@
             for view in state.servers.of_service(pending.service_id)
             if _is_permitted(state, key, view)
         ]
-        group = groups.ServerGroup(views, state.network)
+        own_id = state.fleet.own_member.instance_id
+        group = groups.ServerGroup(views, state.network, f'{own_id}/{epoch}')
         state.groups.groups[key] = group
     return group
 
@@ -173,6 +174,7 @@
         functools.partial(_distance_cost_ms, state, processing.uncached_ms),
         gains,
         overload.congestion_price(group.load_summary(now_ms).load_per_slot),
+        group.random.random,
     )
 
 
--- a/rhubarbspar/gateway/routing/selection.py
+++ b/rhubarbspar/gateway/routing/selection.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import math
 import operator
 import typing
@@ -21,6 +22,19 @@
 FAILURE_COST: typing.Final = 4.0
 # A cold server takes about twice the time.
 COLD_FACTOR: typing.Final = 2.0
+# A load report ages with this time constant: then the instances that have got it as well have sent
+# requests to the servers that it favours.
+REPORT_AGE_MS: typing.Final = 200
+# Among equal servers whose reports are old, the cost varies at random by up to this share of the
+# processing time, so that instances with the same reports choose different servers.
+SPREAD_MAX: typing.Final = 1.0
+# Servers are equally far if the difference of their distances is below this.
+EQUAL_DISTANCE_MS: typing.Final = 5.0
+
+
+def no_spread() -> float:
+    """Return 0 in place of a random number, for a choice by cost alone."""
+    return 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +59,8 @@
         absent.
     congestion_price
         Cost of a millisecond of processing time, in milliseconds of delay.
+    random_fraction
+        Returns random numbers from 0 to 1, other ones at each instance.
     """
 
     now_ms: float
@@ -55,6 +71,7 @@
     distance_cost_ms: abc.Callable[[str], float]
     gains: abc.Mapping[str, float]
     congestion_price: float = 0
+    random_fraction: abc.Callable[[], float] = no_spread
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +91,8 @@
         Share of the processing time that the server is expected to save.
     load
         Estimated number of requests at the server.
+    distance_ms
+        Part of the cost that comes from the distance of the server.
     time_factor
         Expected processing time at the server, as a multiple of the typical one.
     place
@@ -86,6 +105,7 @@
     cost_ms: float
     gain: float
     load: float
+    distance_ms: float = 0
     time_factor: float = 1
     place: affinity.Place = affinity.Place.NONE
 
@@ -93,7 +113,7 @@
 def choose_server(
     candidates: abc.Sequence[servers.ServerView], inputs: SelectionInputs
 ) -> Choice | None:
-    """Return the candidate with the lowest cost.
+    """Return the candidate with the lowest cost, or one that is about equal.
 
     Ejected servers are only considered if every usable candidate is ejected. Returns ``None`` if no
     candidate may get a request now.
@@ -104,7 +124,37 @@
     # With every server ejected, the one whose ejection ends first is the best guess.
     considered = available or sorted(usable, key=lambda view: view.ejected_until_ms)[:1]
     choices = [_estimate(view, inputs) for view in considered]
-    return min(choices, key=operator.attrgetter('cost_ms'), default=None)
+    best = min(choices, key=operator.attrgetter('cost_ms'), default=None)
+    return None if best is None else _spread(choices, best, inputs)
+
+
+def _spread(choices: abc.Sequence[Choice], best: Choice, inputs: SelectionInputs) -> Choice:
+    """Return the best choice, or a random one among those that may be as good.
+
+    Only servers that are as near as the best one, and equally expected to have the object cached,
+    are compared: their costs differ by their loads, which are the less known, the older the reports
+    are. The requests of this instance are known, so a server with more of them is no equal. Pattern: randomized choice under stale load information (Mitzenmacher, "How useful is old
+    information?", 2000).
+    """
+    distance_max_ms = best.distance_ms + EQUAL_DISTANCE_MS
+    equals = [
+        choice
+        for choice in choices
+        if choice.gain == best.gain
+        and choice.distance_ms <= distance_max_ms
+        and choice.view.running <= best.view.running
+    ]
+    if len(equals) == 1:
+        return best
+    return min(equals, key=functools.partial(_spread_cost_ms, inputs))
+
+
+def _spread_cost_ms(inputs: SelectionInputs, choice: Choice) -> float:
+    """Return the cost of a choice plus a random one that grows with the age of its report."""
+    age_ms = inputs.now_ms - choice.view.reported_ms
+    uncertainty = 1 - math.exp(-age_ms / REPORT_AGE_MS)
+    spread_ms = SPREAD_MAX * uncertainty * inputs.mean_processing_ms
+    return choice.cost_ms + inputs.random_fraction() * spread_ms
 
 
 def _estimate(view: servers.ServerView, inputs: SelectionInputs) -> Choice:
@@ -120,19 +170,21 @@
         processing_ms *= COLD_FACTOR
     wait_ms = max(0, load - view.slots + 1) * inputs.mean_processing_ms * view.slowdown / view.slots
     expected_ms = round_trip_ms + wait_ms + processing_ms
-    contention_ms = CONTENTION * processing_ms * min(1, load / view.slots)
-    cost_ms = expected_ms + contention_ms + _price_ms(view, inputs, processing_ms)
-    return Choice(view, expected_ms, wait_ms, cost_ms, gain, load, time_factor)
+    price_ms = inputs.distance_cost_ms(view.server.failure_domain)
+    cost_ms = expected_ms + price_ms + _load_cost_ms(view, inputs, processing_ms, load)
+    return Choice(
+        view, expected_ms, wait_ms, cost_ms, gain, load, round_trip_ms + price_ms, time_factor
+    )
 
 
-def _price_ms(view: servers.ServerView, inputs: SelectionInputs, processing_ms: float) -> float:
-    """Return the costs of failures, distance and congestion."""
+def _load_cost_ms(
+    view: servers.ServerView, inputs: SelectionInputs, processing_ms: float, load: float
+) -> float:
+    """Return the costs of contention, failures and congestion."""
+    contention_ms = CONTENTION * processing_ms * min(1, load / view.slots)
     failure_rate = view.decayed_failure_rate(inputs.now_ms)
-    return (
-        failure_rate * FAILURE_COST * inputs.processing_ms
-        + inputs.distance_cost_ms(view.server.failure_domain)
-        + inputs.congestion_price * processing_ms
-    )
+    failure_cost_ms = failure_rate * FAILURE_COST * inputs.processing_ms
+    return contention_ms + failure_cost_ms + inputs.congestion_price * processing_ms
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/gateway/routing/selection_model.py
+++ b/tests/gateway/routing/selection_model.py
@@ -125,6 +125,15 @@
         return max(shifts)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Sent:
+    """A request under way; it is counted if its deadline lies within the run."""
+
+    kind: Kind
+    arrived_ms: float
+    counted: bool
+
+
 class Server:
     """A server with slots and a bounded queue, whose speed changes."""
 
@@ -243,13 +252,15 @@
         weights = [self._demand(instance.region) for instance in self.instances]
         (instance,) = self.random.choices(self.instances, weights)
         self.at(self.now_ms + self.random.expovariate(rate_per_ms), self._arrive, kind)
-        self.outcome.offered[instance.region] += 1
-        self.outcome.by_route[kind.route.route_id, 'offered'] += 1
+        counted = self.now_ms < self.load.duration_ms - kind.route.timeout_ms
+        if counted:
+            self.outcome.offered[instance.region] += 1
+            self.outcome.by_route[kind.route.route_id, 'offered'] += 1
         instance.now_ms = self.now_ms
         path = f'{kind.route.path_prefix}1'
         outputs = instance.request(path, caller_timeout_ms=None)
         number = instance._last_number
-        self._requests[id(instance), number] = (kind, self.now_ms)
+        self._requests[id(instance), number] = _Sent(kind, self.now_ms, counted)
         self._apply(instance, outputs)
 
     def _reduce(self, instance, event):
@@ -264,21 +275,22 @@
                 case effects.CancelAttempt(attempt_number):
                     self._cancel(instance, attempt_number)
                 case effects.RelayResponse(number):
-                    kind, arrived_ms = self._requests.pop((id(instance), number))
-                    self.outcome.served[instance.region] += 1
-                    self.outcome.by_route[kind.route.route_id, 'served'] += 1
-                    self.outcome.times_ms.append(self.now_ms - arrived_ms)
+                    sent = self._requests.pop((id(instance), number))
+                    if sent.counted:
+                        self.outcome.served[instance.region] += 1
+                        self.outcome.by_route[sent.kind.route.route_id, 'served'] += 1
+                        self.outcome.times_ms.append(self.now_ms - sent.arrived_ms)
                 case effects.Refuse(number, status):
-                    kind, _ = self._requests.pop((id(instance), number))
-                    self.outcome.timed_out += status == 504
-                    self.outcome.refused += status != 504
+                    sent = self._requests.pop((id(instance), number))
+                    self.outcome.timed_out += sent.counted and status == 504
+                    self.outcome.refused += sent.counted and status != 504
 
     def _one_way_ms(self, instance, server):
         return instance.state.network.measured_ms[server.declared.failure_domain] / 2
 
     def _send(self, instance, started):
         server = self.servers[started.server.server_id]
-        kind, _ = self._requests[id(instance), started.request_number]
+        kind = self._requests[id(instance), started.request_number].kind
         window = int(self.now_ms // 2000)
         self.outcome.ran_in[instance.region, window][server.region] += 1
         self.outcome.attempts += 1
--- a/tests/gateway/routing/test_selection_load.py
+++ b/tests/gateway/routing/test_selection_load.py
@@ -5,9 +5,14 @@
 bounds with room. The figures of the comparisons are in docs/design/server_selection.md.
 """
 
+import operator
 import statistics
 
+import pytest
+
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway.routing import groups
+from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway.routing import servers
 from tests.gateway.routing import selection_model
 
@@ -55,3 +60,41 @@
     fresh_ms = statistics.mean(outcome.mean_ms for outcome in fresh)
     assert fresh_ms < statistics.mean(outcome.mean_ms for outcome in ignored)
     assert fresh_ms < statistics.mean(outcome.mean_ms for outcome in remembered)
+
+
+def rejected_share(results):
+    """Return the share of the attempts that full servers have refused."""
+    return sum(outcome.rejected for outcome in results) / sum(
+        outcome.attempts for outcome in results
+    )
+
+
+def least_cost(choices, best, _inputs):
+    """Choose by cost alone."""
+    assert choices
+    return best
+
+
+@pytest.mark.parametrize(('instances', 'server_count'), [(30, 18), (30, 48), (87, 104)])
+def test_instances_with_the_same_reports_choose_different_servers(
+    monkeypatch, instances, server_count
+):
+    """Guards against herding: all instances send to one server until it refuses requests."""
+    spread = selection_model.run(one_region(instances, server_count, 0.9))
+    monkeypatch.setattr(selection, '_spread', least_cost)
+    monkeypatch.setattr(groups.random.Random, 'shuffle', lambda _random, _items: None)
+    same = selection_model.run(one_region(instances, server_count, 0.9))
+    assert spread.served_share > 0.95
+    assert rejected_share([spread]) < 0.03
+    assert same.served_share < spread.served_share - 0.1
+    assert rejected_share([same]) > 5 * rejected_share([spread])
+
+
+def test_spread_costs_little_time_with_a_few_instances(monkeypatch):
+    """Guards against random choices where the reports are good enough to choose the best server."""
+    spread = outcomes(8, 12, 0.5)
+    monkeypatch.setattr(selection, '_spread', least_cost)
+    best = outcomes(8, 12, 0.5)
+    mean_ms = operator.attrgetter('mean_ms')
+    assert statistics.mean(map(mean_ms, spread)) < 1.05 * statistics.mean(map(mean_ms, best))
+    assert all(outcome.served_share > 0.99 for outcome in spread)
