Keep the duty from stale holders after a restore of the store

Random faults on the state machine showed a holder that had been frozen, replaced and brought back by a restore, and went on with its old token. A term now ends when the lease was not renewed in time. The record carries the era of the store: a new holder that the fleet cannot inform leaves out what may have been reported. A holder that hears less than half of the fleet lets the duty go.

--- a/rhubarbspar/gateway/usage/duty.py
+++ b/rhubarbspar/gateway/usage/duty.py
@@ -27,6 +27,9 @@
 SUCCESSION_MARGIN_MS: typing.Final = 500
 # The next candidates wait longer, one after the other.
 RANK_DELAY_MS: typing.Final = 1000
+# An instance that hears less than half of the fleet waits for as long as this many candidates: it
+# does not get the parts of the others, nor does it know their last reports.
+ALONE_RANKS: typing.Final = 20
 # The first candidate reads the record at this interval, which doubles for each further one.
 READ_INTERVAL_MS: typing.Final = 800
 _READ_DOUBLINGS_MAX: typing.Final = 5
@@ -58,6 +61,25 @@
     unix_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """What this instance is to the rest of the fleet.
+
+    Attributes
+    ----------
+    rank
+        Its place among those that would take the duty next; ``None`` if it must not.
+    first_window
+        First window of which it has parts, for the first report of a fleet.
+    hears_fleet
+        Whether it hears at least half of the instances, which have told it of the last reports.
+    """
+
+    rank: int | None
+    first_window: int
+    hears_fleet: bool = True
+
+
 @dataclasses.dataclass(slots=True)
 class StoreCall:
     """The call to the store that is under way."""
@@ -138,12 +160,16 @@
         What the fleet knows of the duty.
     record, record_read
         Last record of the store that was read or written, and whether it was read at all.
+    is_restored
+        Whether the store was restored since the record was written.
     record_changed_ms
         When a change of the record was last read.
     read_ms
         When the record was last read.
     is_holder
         Whether this instance holds the duty by the last record; it acts only until ``acts_until``.
+    claimed_alone
+        Whether it took the duty although it hears less than half of the fleet.
     held_since_ms
         When it took the duty.
     renewed_ms
@@ -169,9 +195,11 @@
     backlog: Backlog = dataclasses.field(default_factory=Backlog)
     record: models.DutyRecord | None = None
     record_read: bool = False
+    is_restored: bool = False
     record_changed_ms: float = math.inf
     read_ms: float = -math.inf
     is_holder: bool = False
+    claimed_alone: bool = False
     held_since_ms: float = math.inf
     renewed_ms: float = -math.inf
     needs_duty: bool = False
@@ -220,7 +248,8 @@
     if call is None:
         return []
     match event, call.effect:
-        case events.DutyRead(record), _:
+        case events.DutyRead(record, is_restored), _:
+            duty.is_restored = is_restored
             return _apply_record(duty, record, moment)
         case events.WindowsRead(windows), _:
             return _adopt_windows(duty, windows)
@@ -233,28 +262,28 @@
     return []
 
 
-def tick(duty: Duty, rank: int | None, first_window: int, moment: Moment) -> Outputs:
-    """Start the calls that are due; counts are decided by ``decide``.
-
-    Parameters
-    ----------
-    rank
-        Place of this instance among those that would take the duty next; ``None`` if it must not.
-    first_window
-        First window of which this instance has parts, for the first report of a fleet.
-    """
-    outputs: Outputs = []
+def tick(duty: Duty, standing: Standing, moment: Moment) -> Outputs:
+    """Start the calls that are due; counts are decided by ``decide``."""
+    outputs = _end_lease(duty, moment)
     if duty.called_window != models.NO_WINDOW and not duty.may_act(moment.now_ms):
         duty.called_window = models.NO_WINDOW
         outputs.append(effects.CancelReport())
     if duty.store_call is None and moment.now_ms >= duty.store_retry_ms:
-        started = _next_store_call(duty, rank, first_window, moment)
+        started = _next_store_call(duty, standing, moment)
         if started is not None:
             duty.store_call = StoreCall(started, moment.now_ms)
             outputs.append(started)
     return outputs + _start_report(duty, moment)
 
 
+def _end_lease(duty: Duty, moment: Moment) -> Outputs:
+    """End the term of a holder that has not renewed its lease in time."""
+    is_ended = moment.now_ms - duty.renewed_ms >= duty.settings.lease_ms
+    if duty.is_holder and is_ended and duty.store_call is None:
+        return _lose(duty, 'lease_ended', moment)
+    return []
+
+
 def decide(duty: Duty, window: models.WindowCounts) -> Outputs:
     """Fix the counts of the next undecided window; they are written and then sent."""
     duty.backlog.decided[window.window_id] = window
@@ -262,18 +291,20 @@
     return [core_effects.Log('usage_window_decided', (*fields, ('accounts', len(window.counts))))]
 
 
-def _next_store_call(
-    duty: Duty, rank: int | None, first_window: int, moment: Moment
-) -> effects.UsageEffect | None:
+def _next_store_call(duty: Duty, standing: Standing, moment: Moment) -> effects.UsageEffect | None:
+    rank = standing.rank
     if duty.is_holder:
-        return _next_call_of_holder(duty, rank, moment)
+        return _next_call_of_holder(duty, standing, moment)
     if rank is None:
         return None
+    if not standing.hears_fleet:
+        rank += ALONE_RANKS
     waited_ms = moment.now_ms - duty.record_changed_ms
     lease_ms = duty.settings.lease_ms + SUCCESSION_MARGIN_MS + rank * RANK_DELAY_MS
     is_fresh = moment.now_ms - duty.read_ms < READ_INTERVAL_MS / 2
     if duty.record_read and waited_ms >= lease_ms and is_fresh:
-        return effects.WriteDuty(_claim(duty, first_window, moment))
+        duty.claimed_alone = not standing.hears_fleet
+        return effects.WriteDuty(_claim(duty, standing, moment))
     interval_ms = READ_INTERVAL_MS * 2 ** min(rank, _READ_DOUBLINGS_MAX)
     if waited_ms >= lease_ms or moment.now_ms - duty.read_ms >= interval_ms:
         return effects.ReadDuty()
@@ -281,14 +312,20 @@
 
 
 def _next_call_of_holder(
-    duty: Duty, rank: int | None, moment: Moment
+    duty: Duty, standing: Standing, moment: Moment
 ) -> effects.UsageEffect | None:
-    """Return the next call of the holder; one without a rank is stopping and renews no more."""
+    """Return the next call of the holder.
+
+    It renews no more if it is stopping, or hears less than half of the fleet: it would report too
+    few requests. One that took the duty that way, since nobody else did, goes on.
+    """
     record = duty.record
     if duty.needs_duty or record is None:
         return effects.ReadDuty()
     is_due = moment.now_ms - duty.renewed_ms >= duty.settings.lease_ms * RENEW_SHARE
-    if is_due and rank is not None:
+    duty.claimed_alone = duty.claimed_alone and not standing.hears_fleet
+    may_renew = standing.rank is not None and (standing.hears_fleet or duty.claimed_alone)
+    if is_due and may_renew:
         return effects.WriteDuty(_renewed(duty, record, moment))
     if not duty.may_act(moment.now_ms):
         return None
@@ -301,28 +338,40 @@
     return effects.WriteWindow(window, record.revision, tuple(deletable[:DELETIONS_MAX]))
 
 
-def _claim(duty: Duty, first_window: int, moment: Moment) -> models.DutyRecord:
+def _claim(duty: Duty, standing: Standing, moment: Moment) -> models.DutyRecord:
     """Return the record by which this instance takes the duty."""
     former = duty.record
     former_token = 0 if former is None else former.token
     token = tokens.next_token(
         max(former_token, duty.status.token), moment.unix_ms, duty.own_id, duty.incarnation
     )
-    recorded = models.NO_WINDOW if former is None else former.next_window
-    next_window = max(recorded, duty.status.next_window)
-    if next_window == models.NO_WINDOW:
-        next_window = first_window
-    oldest = duty.settings.window_at(moment.unix_ms) - BACKLOG_MAX
     return models.DutyRecord(
         duty.own_id,
         duty.incarnation,
         token,
-        max(next_window, oldest),
+        _first_to_report(duty, standing, moment),
         lease_ends_unix_ms=round(moment.unix_ms + duty.settings.lease_ms),
         revision=0 if former is None else former.revision,
     )
 
 
+def _first_to_report(duty: Duty, standing: Standing, moment: Moment) -> int:
+    """Return the first window that a new holder reports.
+
+    A restored store may have lost what was reported since the copy. If the fleet cannot tell this
+    instance either, it leaves out all windows that may have been reported.
+    """
+    present = duty.settings.window_at(moment.unix_ms)
+    is_informed = standing.hears_fleet and duty.status.attempted_window != models.NO_WINDOW
+    if duty.is_restored and not is_informed:
+        return present
+    recorded = models.NO_WINDOW if duty.record is None else duty.record.next_window
+    next_window = max(recorded, duty.status.next_window)
+    if next_window == models.NO_WINDOW:
+        next_window = standing.first_window
+    return max(next_window, present - BACKLOG_MAX)
+
+
 def _renewed(duty: Duty, record: models.DutyRecord, moment: Moment) -> models.DutyRecord:
     return dataclasses.replace(
         record,
@@ -346,9 +395,14 @@
     if record is not None:
         read_status = models.DutyStatus(record.holder_id, record.token, record.next_window)
         duty.status = duty.status.merge(read_status)
-    if not duty.is_holder or held is None or _is_same_term(held, record):
+    if not duty.is_holder or held is None:
         return []
-    return _lose(duty, 'replaced', moment)
+    if not _is_same_term(held, record):
+        return _lose(duty, 'replaced', moment)
+    if moment.now_ms - duty.renewed_ms >= duty.settings.lease_ms:
+        # Another one may have held the duty since, and a restore may have lost its record.
+        return _lose(duty, 'lease_ended', moment)
+    return []
 
 
 def _is_same_term(held: models.DutyRecord, record: models.DutyRecord | None) -> bool:
--- a/rhubarbspar/gateway/usage/events.py
+++ b/rhubarbspar/gateway/usage/events.py
@@ -22,9 +22,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DutyRead(UsageEvent):
-    """The record of the duty was read; ``None`` if there is none."""
+    """The record of the duty was read; ``None`` if there is none.
+
+    Attributes
+    ----------
+    is_restored
+        Whether the store was restored since the record was written.
+    """
 
     record: models.DutyRecord | None
+    is_restored: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/usage/models.py
+++ b/rhubarbspar/gateway/usage/models.py
@@ -75,6 +75,8 @@
         Number of renewals, so that each renewal changes the record.
     lease_ends_unix_ms
         When the lease ends by the clock of the holder; for operators only.
+    era
+        Number of restores of the store when the record was written.
     revision
         Revision of the record in the store; 0 if it is not known.
     """
@@ -85,6 +87,7 @@
     next_window: int
     sequence: int = 0
     lease_ends_unix_ms: int = 0
+    era: int = 0
     revision: int = 0
 
 
--- a/rhubarbspar/gateway/usage/reports.py
+++ b/rhubarbspar/gateway/usage/reports.py
@@ -325,8 +325,13 @@
         return []
     earliest = usage.parts.earliest_window()
     first_window = usage.counter.first_open if earliest is None else earliest
-    rank = _rank(state, usage, now_ms)
-    return usage_duty.tick(usage.duty, rank, first_window, _moment(usage, now_ms))
+    instance_count = 1 + len(state.fleet.peers)
+    standing = usage_duty.Standing(
+        _rank(state, usage, now_ms),
+        first_window,
+        hears_fleet=2 * state.fleet.live_count(now_ms) >= instance_count,
+    )
+    return usage_duty.tick(usage.duty, standing, _moment(usage, now_ms))
 
 
 def _moment(usage: usage_state.UsageState, now_ms: float) -> usage_duty.Moment:
--- a/rhubarbspar/gateway/usage/tasks.py
+++ b/rhubarbspar/gateway/usage/tasks.py
@@ -1,5 +1,6 @@
 """Carries out the effects of the usage reports: calls to the store and to the platform."""
 
+import dataclasses
 import typing
 from collections import abc
 
@@ -112,7 +113,7 @@
     async def _read_duty(self) -> events.UsageEvent:
         found = await self._client.read(const.KEY_USAGE_DUTY)
         if found is None or found.content is None:
-            return events.DutyRead(None)
+            return events.DutyRead(None, is_restored=self._client.era > _FIRST_ERA)
         try:
             record = usage.decode_duty(found.content, found.revision)
         except errors.RecordError as error:
@@ -120,7 +121,7 @@
             log_fields = (('key', const.KEY_USAGE_DUTY), ('error', str(error)))
             self._report(core_effects.Log('record_unreadable', log_fields))
             record = models.DutyRecord('', '', 0, models.NO_WINDOW, revision=found.revision)
-        return events.DutyRead(record)
+        return events.DutyRead(record, is_restored=record.era < self._client.era)
 
     async def _read_windows(self) -> events.UsageEvent:
         found, _ = await self._client.read_all(const.PREFIX_USAGE_WINDOW)
@@ -128,7 +129,8 @@
 
     async def _write_duty(self, record: models.DutyRecord) -> events.UsageEvent:
         condition = store.Condition(const.KEY_USAGE_DUTY, record.revision)
-        written = store.Put(const.KEY_USAGE_DUTY, usage.encode_duty(record))
+        dated = dataclasses.replace(record, era=self._client.era)
+        written = store.Put(const.KEY_USAGE_DUTY, usage.encode_duty(dated))
         return _ended(await self._client.transact((condition,), (written,)))
 
     async def _write_window(self, effect: effects.WriteWindow) -> events.UsageEvent:
@@ -142,6 +144,8 @@
         return _ended(await self._client.transact(conditions, (written,), deleted))
 
 
+# Era of a store that was never restored.
+_FIRST_ERA: typing.Final = 1
 _UNKNOWN: typing.Final = events.WriteEnded(events.WriteOutcome.UNKNOWN)
 
 
--- a/rhubarbspar/platform/usage.py
+++ b/rhubarbspar/platform/usage.py
@@ -133,6 +133,7 @@
         _require_count(document['next_window']),
         _require_count(document['sequence']),
         _require_count(document['lease_ends_unix_ms']),
+        _require_count(document['era']),
         revision,
     )
 
--- a/tests/gateway/usage/test_duty.py
+++ b/tests/gateway/usage/test_duty.py
@@ -3,8 +3,6 @@
 Load pattern: one window after the other, with takeovers, lost responses, restores and pauses.
 """
 
-import dataclasses
-
 import pytest
 
 from rhubarbspar.gateway.usage import duty as usage_duty
@@ -53,7 +51,9 @@
                 break
             counts = (models.AccountCount('workshop', self.counts[name]),)
             usage_duty.decide(duty, models.WindowCounts(window_id, counts))
-        self.carry_out(name, usage_duty.tick(duty, rank, usage_backends.FIRST, moment))
+        self.carry_out(
+            name, usage_duty.tick(duty, usage_duty.Standing(rank, usage_backends.FIRST), moment)
+        )
         if self.gossip:
             for other_name, other in self.duties.items():
                 if other_name not in self.frozen:
@@ -187,9 +187,7 @@
     world.run(15_000)
     assert world.holder_ids() == ['a', 'b']
     world.gossip = gossip
-    world.revision += 100
-    world.record = dataclasses.replace(record, revision=world.revision)
-    world.windows = windows
+    world.restore(record, windows)
     world.run(20_000)
     world.check()
     assert contiguous(world.sent())
@@ -199,8 +197,7 @@
 def test_restore_to_an_empty_store(world):
     """Guards against a fleet that begins again with windows that were reported."""
     sent_before = len(world.calls)
-    world.record = None
-    world.windows = {}
+    world.restore(None, {})
     world.run(25_000)
     world.check()
     assert contiguous(world.sent())
@@ -214,9 +211,7 @@
     world.run(6000)
     attempted = world.calls[-1].window.window_id
     world.duties.pop('a')
-    world.revision += 100
-    world.record = dataclasses.replace(record, revision=world.revision)
-    world.windows = {key: kept for key, kept in windows.items() if key < attempted}
+    world.restore(record, {key: kept for key, kept in windows.items() if key < attempted})
     world.status = 200
     world.run(20_000)
     world.check()
@@ -271,7 +266,32 @@
     duty = world.duties['a']
     world.duties.pop('a')
     world.duties = {'b': world.duties['b'], 'c': world.duties['c']}
-    outputs = usage_duty.tick(
-        duty, None, usage_backends.FIRST, usage_duty.Moment(world.now_ms + 2000, 0)
-    )
+    standing = usage_duty.Standing(None, usage_backends.FIRST)
+    outputs = usage_duty.tick(duty, standing, usage_duty.Moment(world.now_ms + 2000, 0))
     assert not any(isinstance(output, effects.WriteDuty) for output in outputs)
+
+
+def test_uninformed_instance_leaves_out_what_a_restored_store_may_have_lost(world):
+    """Guards against other counts from instances that start after a restore, beside nobody else."""
+    record, windows = world.record, dict(world.windows)
+    world.run(20_000)
+    last = world.sent()[-1]
+    for name in tuple(world.duties):
+        world.duties[name] = usage_duty.Duty(name, 'j', usage_backends.SETTINGS)
+    world.restore(record, windows)
+    world.run(20_000)
+    world.check()
+    assert world.sent()[-1] > last
+
+
+def test_former_holder_whose_record_a_restore_brings_back_begins_a_new_term(world):
+    """Guards against a lower token of a holder that was frozen while it was replaced."""
+    world.gossip = False
+    record, windows = world.record, dict(world.windows)
+    world.frozen.add('a')
+    world.run(20_000)
+    assert world.holder_ids() == ['a', 'b']
+    world.restore(record, windows)
+    world.frozen = {'b', 'c'}
+    world.run(3000)
+    assert world.holder_ids() == ['a', 'b']
--- a/tests/gateway/usage/usage_backends.py
+++ b/tests/gateway/usage/usage_backends.py
@@ -39,6 +39,7 @@
         """Create an empty store."""
         self.now_ms = 0.0
         self.revision = 0
+        self.era = 1
         self.record = None
         self.windows = {}
         self.store_mode = 'ok'
@@ -56,7 +57,8 @@
             case effects.ReadDuty() | effects.ReadWindows() if self.is_down(name):
                 return events.ReadFailed()
             case effects.ReadDuty():
-                return events.DutyRead(self.record)
+                written_era = 1 if self.record is None else self.record.era
+                return events.DutyRead(self.record, is_restored=written_era < self.era)
             case effects.ReadWindows():
                 return events.WindowsRead(tuple(self.windows.values()))
             case effects.WriteDuty() | effects.WriteWindow():
@@ -87,7 +89,7 @@
         match output:
             case effects.WriteDuty(record) if record.revision == known:
                 self.revision += 1
-                self.record = dataclasses.replace(record, revision=self.revision)
+                self.record = dataclasses.replace(record, revision=self.revision, era=self.era)
                 return True
             case effects.WriteWindow(window, revision, deleted):
                 if window.window_id in self.windows or revision != known:
@@ -107,8 +109,9 @@
 
     def restore(self, record, windows):
         """Replace the records by earlier ones."""
+        self.era += 1
         self.revision += 100
-        self.record = dataclasses.replace(record, revision=self.revision)
+        self.record = record and dataclasses.replace(record, revision=self.revision)
         self.windows = windows
 
     def holder_ids(self):
