Read the API of the usage reports from the environment

Cause: nothing told a gateway where to report usage. A section of the template, or a new place in it, would fail in every renderer of the template that knows plain places only, such as the stand-ins of review/.

--- a/rhubarbspar/gateway/settings.py
+++ b/rhubarbspar/gateway/settings.py
@@ -1,9 +1,12 @@
 """Settings of a gateway, read from a JSON file with comments."""
 
 import dataclasses
+import json
+import os
 import pathlib
 import types
 import typing
+from collections import abc
 
 import voluptuous
 
@@ -28,6 +31,9 @@
 CONF_STORE_ADDRESS: typing.Final = 'store_address'
 CONF_USAGE_API: typing.Final = 'usage_api'
 
+# JSON of the API, as the platform describes it.
+ENV_USAGE_API: typing.Final = 'GATEWAY_USAGE_API'
+
 DEFAULT_LOG_LEVEL: typing.Final = 'INFO'
 LOG_LEVELS: typing.Final = ('CRITICAL', 'DEBUG', 'ERROR', 'INFO', 'WARNING')
 
@@ -122,9 +128,15 @@
         }
 
 
-def load(path: str | pathlib.Path) -> Settings:
+def load(path: str | pathlib.Path, environment: abc.Mapping[str, str] = os.environ) -> Settings:
     """Read a settings file.
 
+    Parameters
+    ----------
+    environment
+        Names the API of the usage reports in ``ENV_USAGE_API``, unless the file does: the template
+        of the file has only places that every deployment fills.
+
     Raises
     ------
     errors.UnreadableFileError
@@ -132,7 +144,22 @@
     errors.InvalidFileError
         With file, line and key of every fault.
     """
-    return settings_file.load(path, _SCHEMA, _NO_SECRETS, Settings)
+    loaded = settings_file.load(path, _SCHEMA, _NO_SECRETS, Settings)
+    raw = environment.get(ENV_USAGE_API, '')
+    if loaded.usage_api is not None or not raw:
+        return loaded
+    try:
+        api = _structure_api(raw)
+    except (ValueError, voluptuous.Invalid):
+        # Callers are served without the reports; the start logs the name.
+        names = (*loaded.defaulted_bounds, CONF_USAGE_API)
+        return dataclasses.replace(loaded, defaulted_bounds=names)
+    return dataclasses.replace(loaded, usage_api=api)
+
+
+def _structure_api(raw: str) -> usage.Api | None:
+    members = usage.decode_api(json.loads(raw))
+    return None if members is None else usage.Api(**members)
 
 
 def _merge_bounds(members: dict[str, typing.Any]) -> dict[str, typing.Any]:
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -8,6 +8,7 @@
 
 from rhubarbspar.gateway import settings
 from rhubarbspar.helpers import errors
+from rhubarbspar.platform import usage
 
 TEMPLATE = pathlib.Path(__file__).parents[2] / 'deploy' / 'settings.jsonc'
 BOUNDS = {
@@ -142,3 +143,31 @@
     assert load(VALUES).has_forward_port
     assert load({**VALUES, 'internalPorts.0': '9464'}).shares_metrics_port
     assert not load(VALUES).shares_metrics_port
+
+
+@pytest.mark.parametrize('raw', ('', 'null', '{"address": "10.0.0.9:80", "duties": []}'))
+def test_deployment_without_the_duty_reports_no_usage(tmp_path, raw):
+    """Guards against calls to an API that the platform does not offer."""
+    path = tmp_path / 'gateway.jsonc'
+    path.write_text(fill_template(VALUES))
+    loaded = settings.load(path, {settings.ENV_USAGE_API: raw})
+    assert loaded.usage_api is None
+    assert 'usage_api' not in loaded.defaulted_bounds
+
+
+def test_api_of_the_usage_reports_comes_from_the_environment(tmp_path):
+    """Guards against a deployment whose usage nobody reports."""
+    path = tmp_path / 'gateway.jsonc'
+    path.write_text(fill_template(VALUES))
+    raw = '{"address": "10.0.0.9:80", "ratePerS": 50, "duties": ["usage_report"], "dutyPerS": 20}'
+    loaded = settings.load(path, {settings.ENV_USAGE_API: raw})
+    assert loaded.usage_api == usage.Api('10.0.0.9:80', 20)
+
+
+def test_malformed_api_of_the_usage_reports_does_not_keep_an_instance_from_serving(tmp_path):
+    """Guards against a fleet that serves nobody because of a report."""
+    path = tmp_path / 'gateway.jsonc'
+    path.write_text(fill_template(VALUES))
+    loaded = settings.load(path, {settings.ENV_USAGE_API: '{"duties": ["usage_report"]}'})
+    assert loaded.usage_api is None
+    assert 'usage_api' in loaded.defaulted_bounds
