Let accounts far above their max-min share of a short service make way

Cause: an account at 7.5 times its usual load filled the queues of a short service, so that all accounts were refused alike.

Change: while a service is short (a request waited or was refused within 5 s), the instance counts what each account asks for and what was sent. An account that asks for 1.5 times the max-min share and the mean demand only takes free slots, waits behind all others and is refused first. Without a shortage nothing is counted.

--- a/rhubarbspar/gateway/scheduling/scheduler.py
+++ b/rhubarbspar/gateway/scheduling/scheduler.py
@@ -1,4 +1,4 @@
-"""State of the scheduler: which urgencies use a service, and what waits for its servers."""
+"""State of the scheduler: what uses each service, and what waits for its servers."""
 
 import dataclasses
 import math
@@ -7,10 +7,8 @@
 from rhubarbspar.gateway.routing import groups
 from rhubarbspar.gateway.scheduling import fair_queue
 from rhubarbspar.gateway.scheduling import models
+from rhubarbspar.gateway.scheduling import service_use
 
-# An urgency uses a service for this long after its last request. An instance of a large fleet gets
-# less than one request a second of some kinds.
-PRESENT_MS: typing.Final = 10_000
 # Requests that wait in an instance. Each holds a connection; the smallest instances may open 4,100
 # descriptors.
 WAITING_MAX: typing.Final = 400
@@ -20,11 +18,6 @@
 RATE_WINDOW_MS: typing.Final = 5000
 # A queue that is younger says nothing of the time that a request waits in it.
 RATE_KNOWN_MS: typing.Final = 1000
-# Time over which it is counted how many requests of an urgency are sent.
-TALLY_WINDOW_MS: typing.Final = 10_000
-# A kind is starved if it is sent this many times as often as all requests of its service. Each kind
-# is to be served at least a quarter as often.
-STARVED_SHARE: typing.Final = 0.5
 # Requests of accounts above their share wait behind all others.
 OVER_SHARE_URGENCY: typing.Final = 1_000_000
 
@@ -63,52 +56,14 @@
         return self.sent_count * math.exp((self.updated_ms - now_ms) / RATE_WINDOW_MS)
 
 
-@dataclasses.dataclass(slots=True)
-class _Tally:
-    """Requests of an urgency that were sent and given up, decayed over ``TALLY_WINDOW_MS``."""
-
-    updated_ms: float
-    sent: float = 0
-    given_up: float = 0
-
-    def record(self, now_ms: float, *, is_sent: bool) -> None:
-        """Count a request."""
-        self.decay(now_ms)
-        self.sent += is_sent
-        self.given_up += not is_sent
-
-    def decay(self, now_ms: float) -> None:
-        """Let the counts decay to a time."""
-        factor = math.exp((self.updated_ms - now_ms) / TALLY_WINDOW_MS)
-        self.sent *= factor
-        self.given_up *= factor
-        self.updated_ms = now_ms
-
-
-@dataclasses.dataclass(slots=True)
-class _ServiceUse:
-    """The urgencies that use a service.
-
-    Attributes
-    ----------
-    seen_ms
-        When the last request of each urgency came.
-    tallies
-        What became of the requests of each urgency; only while several use the service.
-    """
-
-    seen_ms: dict[int, float] = dataclasses.field(default_factory=dict)
-    tallies: dict[int, _Tally] = dataclasses.field(default_factory=dict)
-
-
 @dataclasses.dataclass(slots=True)
 class Scheduler:
-    """Waiting requests by group of servers, and the urgencies at each service.
+    """Waiting requests by group of servers, and what uses each service.
 
     Attributes
     ----------
     uses
-        Which urgencies use each service.
+        What uses each service.
     keys
         The group for which each waiting request waits.
     is_memory_short
@@ -116,56 +71,18 @@
     """
 
     queues: dict[groups.GroupKey, _GroupQueue] = dataclasses.field(default_factory=dict)
-    uses: dict[str, _ServiceUse] = dataclasses.field(default_factory=dict)
+    uses: dict[str, service_use.ServiceUse] = dataclasses.field(default_factory=dict)
     keys: dict[int, groups.GroupKey] = dataclasses.field(default_factory=dict)
     waiting_bytes: int = 0
     is_memory_short: bool = False
 
-    def record_request(self, service_id: str, urgency: int, now_ms: float) -> None:
-        """Note that a service gets requests of an urgency."""
+    def use_of(self, service_id: str) -> service_use.ServiceUse:
+        """Return what uses a service."""
         use = self.uses.get(service_id)
         if use is None:
-            use = _ServiceUse()
+            use = service_use.ServiceUse()
             self.uses[service_id] = use
-        use.seen_ms[urgency] = now_ms
-
-    def most_urgent(self, service_id: str, now_ms: float) -> int | None:
-        """Return the most urgent kind that uses a service, or ``None`` if none does."""
-        use = self.uses.get(service_id)
-        seen = {} if use is None else use.seen_ms
-        present = [urgency for urgency in seen if now_ms - seen[urgency] <= PRESENT_MS]
-        return min(present, default=None)
-
-    def record_result(self, service_id: str, urgency: int, now_ms: float, *, is_sent: bool) -> None:
-        """Note whether the first attempt of a request was sent, or the request was given up."""
-        use = self.uses.get(service_id)
-        if use is None or len(use.seen_ms) < 2:
-            return
-        use.tallies.setdefault(urgency, _Tally(now_ms)).record(now_ms, is_sent=is_sent)
-
-    def is_starved(self, service_id: str, urgency: int, now_ms: float) -> bool:
-        """Return whether requests of an urgency are sent much less often than all of a service."""
-        use = self.uses.get(service_id)
-        if use is None or urgency not in use.tallies:
-            return False
-        tallies = tuple(use.tallies.values())
-        for tally in tallies:
-            tally.decay(now_ms)
-        sent = sum(counted.sent for counted in tallies)
-        given_up = sum(counted.given_up for counted in tallies)
-        own = use.tallies[urgency]
-        own_share = own.sent / max(1.0, own.sent + own.given_up)
-        return own_share < STARVED_SHARE * sent / max(1.0, sent + given_up)
-
-    def rank(self, service_id: str, urgency: int, now_ms: float) -> models.Rank:
-        """Return how far a request makes way for the others of its service."""
-        use = self.uses.get(service_id)
-        if use is None or len(use.seen_ms) < 2:
-            return models.Rank.FIRST
-        first = self.most_urgent(service_id, now_ms)
-        if first is not None and first < urgency:
-            return models.Rank.LESS_URGENT
-        return models.Rank.FIRST
+        return use
 
     def has_room(self, size_bytes: int) -> bool:
         """Return whether a request of a size may wait."""
--- a/rhubarbspar/gateway/serving/capacity.py
+++ b/rhubarbspar/gateway/serving/capacity.py
@@ -9,6 +9,7 @@
 from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway.scheduling import decisions
 from rhubarbspar.gateway.scheduling import models as scheduling
+from rhubarbspar.gateway.scheduling import scheduler
 from rhubarbspar.gateway.serving import admission
 from rhubarbspar.gateway.serving import responses
 from rhubarbspar.gateway import state as gateway_state
@@ -17,8 +18,10 @@
 def record_request(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> None:
-    """Note that the service of a request gets requests of its urgency."""
-    state.scheduler.record_request(pending.service_id, _urgency(pending), now_ms)
+    """Note the urgency and the account of a request at its service."""
+    work_ms = processing_times.of_route(state, pending.route).mean_ms
+    use = state.scheduler.use_of(pending.service_id)
+    use.record_request(_urgency(pending), _account_id(pending), work_ms, now_ms)
 
 
 def record_sent(
@@ -27,16 +30,19 @@
     """Note that a request is sent to a server; it waits no longer."""
     if pending.send_count:
         return
-    state.scheduler.record_result(pending.service_id, _urgency(pending), now_ms, is_sent=True)
+    use = state.scheduler.use_of(pending.service_id)
+    use.record_result(_urgency(pending), now_ms, is_sent=True)
     state.scheduler.record_sent(pending.request.request_number, now_ms)
 
 
 def record_given_up(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> None:
-    """Note that a request is refused without having been sent."""
+    """Note that a request is refused for lack of capacity."""
+    use = state.scheduler.use_of(pending.service_id)
+    use.mark_short(now_ms)
     if not pending.send_count:
-        state.scheduler.record_result(pending.service_id, _urgency(pending), now_ms, is_sent=False)
+        use.record_result(_urgency(pending), now_ms, is_sent=False)
 
 
 def decide_unplaced(
@@ -49,7 +55,7 @@
     rank = _rank(state, pending, now_ms)
     if rank == scheduling.Rank.FIRST or not state.scheduler.keys:
         return scheduling.Send()
-    if not state.scheduler.is_blocked(_group_key(pending), _urgency(pending)):
+    if not state.scheduler.is_blocked(_group_key(pending), _queue_urgency(pending, rank)):
         return scheduling.Send()
     processing_ms = processing_times.uncached_ms(state, pending.route)
     until_ms = decisions.latest_ms(processing_ms, pending.due_ms)
@@ -67,10 +73,9 @@
     """Decide whether a request is sent to the chosen server, waits, or is refused."""
     rank = _rank(state, pending, now_ms)
     if rank == scheduling.Rank.FIRST:
-        if not placement.is_overloaded(pending, choice, now_ms):
-            return scheduling.Send()
-        return _refuse(state, pending, const.REASON_OVERLOADED, now_ms)
-    is_starved = state.scheduler.is_starved(pending.service_id, _urgency(pending), now_ms)
+        return _decide_first(state, pending, choice, now_ms)
+    use = state.scheduler.use_of(pending.service_id)
+    is_starved = rank == scheduling.Rank.LESS_URGENT and use.is_starved(_urgency(pending), now_ms)
     decision = decisions.decide(
         _candidate(choice, now_ms), rank, pending.due_ms, now_ms, is_starved=is_starved
     )
@@ -119,11 +124,13 @@
     number = pending.request.request_number
     if number in state.scheduler.keys:
         return []
-    account = pending.account
+    rank = _rank(state, pending, now_ms)
+    use = state.scheduler.use_of(pending.service_id)
+    use.mark_short(now_ms)
     waiting = scheduling.WaitingRequest(
         number,
-        _urgency(pending),
-        '' if account is None else account.account_id,
+        _queue_urgency(pending, rank),
+        _account_id(pending),
         processing_times.of_route(state, pending.route).mean_ms,
         now_ms,
         pending.due_ms,
@@ -131,13 +138,13 @@
         pending.request.body_bytes,
     )
     state.scheduler.add(_group_key(pending), waiting, now_ms)
-    rank = _rank(state, pending, now_ms).name.lower()
+    reason = rank.name.lower()
     fields = (
         ('service', pending.service_id),
         ('account', waiting.account_id or None),
-        ('reason', rank),
-        ('urgency', waiting.urgency),
-        ('first_urgency', state.scheduler.most_urgent(pending.service_id, now_ms)),
+        ('reason', reason),
+        ('urgency', _urgency(pending)),
+        ('first_urgency', use.most_urgent(now_ms)),
         ('server', None if choice is None else choice.view.server.server_id),
         ('load', None if choice is None else round(choice.load, 1)),
         ('slots', None if choice is None else choice.view.slots),
@@ -149,11 +156,26 @@
         ('waiting', len(state.scheduler.keys)),
     )
     return [
-        core_effects.Count(const.METRIC_SCHEDULING, f'waits_{rank}'),
+        core_effects.Count(const.METRIC_SCHEDULING, f'waits_{reason}'),
         core_effects.Log('request_waits', responses.log_fields(pending.request, fields)),
     ]
 
 
+def _decide_first(
+    state: gateway_state.State,
+    pending: gateway_state.PendingRequest,
+    choice: selection.Choice,
+    now_ms: float,
+) -> scheduling.Decision:
+    """Decide about a request that makes way for none; one that waits already may wait on."""
+    if not placement.is_overloaded(pending, choice, now_ms):
+        return scheduling.Send()
+    until_ms = decisions.latest_ms(choice.expected_ms - choice.wait_ms, pending.due_ms)
+    if pending.request.request_number in state.scheduler.keys and now_ms < until_ms:
+        return scheduling.Wait(until_ms)
+    return _refuse(state, pending, const.REASON_OVERLOADED, now_ms)
+
+
 def _check_wait(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
@@ -168,9 +190,8 @@
         return scheduling.Wait(until_ms)
     if not state.scheduler.has_room(pending.request.body_bytes):
         return _refuse(state, pending, const.REASON_WAITING_FULL, now_ms)
-    account_id = '' if pending.account is None else pending.account.account_id
     wait_ms = state.scheduler.expected_wait_ms(
-        _group_key(pending), _urgency(pending), account_id, now_ms
+        _group_key(pending), _queue_urgency(pending, rank), _account_id(pending), now_ms
     )
     if now_ms + wait_ms <= until_ms:
         return scheduling.Wait(until_ms)
@@ -206,7 +227,8 @@
     """Return how far a request makes way; one that was sent before does not."""
     if pending.send_count:
         return scheduling.Rank.FIRST
-    return state.scheduler.rank(pending.service_id, _urgency(pending), now_ms)
+    use = state.scheduler.use_of(pending.service_id)
+    return use.rank(_urgency(pending), _account_id(pending), now_ms)
 
 
 def _urgency(pending: gateway_state.PendingRequest) -> int:
@@ -217,6 +239,18 @@
     return account.priority
 
 
+def _queue_urgency(pending: gateway_state.PendingRequest, rank: scheduling.Rank) -> int:
+    """Return the urgency in the queue, where accounts far above their share come last."""
+    if rank == scheduling.Rank.OVER_SHARE:
+        return scheduler.OVER_SHARE_URGENCY + _urgency(pending)
+    return _urgency(pending)
+
+
+def _account_id(pending: gateway_state.PendingRequest) -> str:
+    """Return the account of a request, empty without one."""
+    return '' if pending.account is None else pending.account.account_id
+
+
 def _group_key(pending: gateway_state.PendingRequest) -> groups.GroupKey:
     """Return what selects the servers for which a request waits."""
     account = pending.account
--- a/rhubarbspar/gateway/serving/dispatch.py
+++ b/rhubarbspar/gateway/serving/dispatch.py
@@ -329,6 +329,7 @@
         return outputs + responses.relay(pending, attempt, ended, now_ms)
     if ended.result == events.AttemptResult.NOT_SENT:
         return outputs + _refuse(state, pending, const.REASON_NO_CONNECTION)
+    capacity.record_given_up(state, pending, now_ms)
     return outputs + _refuse(state, pending, const.REASON_SERVERS_FULL)
 
 
@@ -352,7 +353,8 @@
     now_ms: float,
 ) -> list[core_effects.Effect]:
     """Refuse a request by a decision of the scheduler."""
-    capacity.record_given_up(state, pending, now_ms)
+    if refusal.reason != const.REASON_STOPPING:
+        capacity.record_given_up(state, pending, now_ms)
     return _refuse(state, pending, refusal.reason, refusal.retry_after_ms)
 
 
--- a/tests/gateway/scheduling/shared_service.py
+++ b/tests/gateway/scheduling/shared_service.py
@@ -15,6 +15,8 @@
 from rhubarbspar.gateway.scheduling import decisions
 from rhubarbspar.gateway.scheduling import fair_queue
 from rhubarbspar.gateway.scheduling import models
+from rhubarbspar.gateway.scheduling import scheduler
+from rhubarbspar.gateway.scheduling import service_use
 
 SLOTS, QUEUE_MAX = 3, 9
 REPORT_MS, TICK_MS = 500, 50
@@ -35,6 +37,8 @@
 
 UPLOAD = Kind(1, 57 / 187, 600, 721, 4328, 1.4, 0.29)
 AUDIT = Kind(2, 130 / 187, 1960, 2577, 10_310, 0.36, 0.11)
+LOOKUP = Kind(0, 1, 480, 475, 2967, 1.4, 0.11)
+ACCOUNTS = {str(number): 1.0 for number in range(20)}
 
 
 @dataclasses.dataclass
@@ -86,12 +90,14 @@
 class Instance:
     """What an instance knows of each server, its queue, and its requests under way."""
 
-    def __init__(self, servers):
+    def __init__(self, servers, mean_ms):
+        self.mean_ms = mean_ms
         self.others = [0] * len(servers)
         self.own = [0] * len(servers)
         self.detectors = [overload.StandingQueueDetector() for _ in servers]
         self.queue = fair_queue.FairQueue()
         self.waiting = {}
+        self.use = service_use.ServiceUse()
 
     def load(self, index):
         """Return the estimated load of a server."""
@@ -107,7 +113,7 @@
 
     def decide(self, instance, request, index, now_ms):
         """Return a decision about a request and the server with the lowest load."""
-        wait_ms = expected_wait_ms(instance.load(index))
+        wait_ms = expected_wait_ms(instance.load(index), instance.mean_ms)
         kind = request.kind
         expected = overload.ExpectedTimes(wait_ms, kind.work_ms, kind.objective_ms)
         if instance.detectors[index].should_refuse(expected, now_ms):
@@ -143,23 +149,34 @@
 
 
 class Both(Policy):
-    """The gateway: less urgent requests wait in the instance for a server with a free slot."""
+    """The gateway: requests that make way wait in the instance for a server with a free slot."""
 
     def decide(self, instance, request, index, now_ms):
-        """Decide about an audit by the load, and about an upload as before."""
-        if request.kind is UPLOAD:
+        """Decide by the load about a request that makes way, and about others as before."""
+        rank = rank_of(instance, request, now_ms)
+        if rank == models.Rank.FIRST:
             return super().decide(instance, request, index, now_ms)
         load = instance.load(index)
         kept_slots = decisions.kept_slots(f'server-{index}', SLOTS)
-        wait_ms = expected_wait_ms(load)
+        wait_ms = expected_wait_ms(load, instance.mean_ms)
         candidate = models.Candidate(load, SLOTS, 0, wait_ms, request.kind.work_ms, kept_slots)
-        rank = models.Rank.LESS_URGENT
         return decisions.decide(candidate, rank, request.due_ms, now_ms)
 
 
-def expected_wait_ms(load):
+def rank_of(instance, request, now_ms):
+    """Return how far a request makes way."""
+    return instance.use.rank(request.kind.urgency, request.account_id, now_ms)
+
+
+def queue_urgency(request, rank):
+    """Return the urgency of a request in the queue of its instance."""
+    if rank == models.Rank.OVER_SHARE:
+        return scheduler.OVER_SHARE_URGENCY + request.kind.urgency
+    return request.kind.urgency
+
+
+def expected_wait_ms(load, mean_ms):
     """Return the expected time in the queue of a server."""
-    mean_ms = UPLOAD.share * UPLOAD.work_ms + AUDIT.share * AUDIT.work_ms
     return max(0, load - SLOTS + 1) * mean_ms / SLOTS
 
 
@@ -170,17 +187,32 @@
     ----------
     demand
         Offered work, as a share of what the slots can do.
+    kinds
+        The kinds of request that use the service.
+    accounts
+        Weight of each account in the demand.
     """
 
-    def __init__(self, policy, demand, seed=1, instances=24, servers=12):
+    def __init__(
+        self,
+        policy,
+        demand,
+        seed=1,
+        instances=24,
+        servers=12,
+        kinds=(UPLOAD, AUDIT),
+        accounts=ACCOUNTS,
+    ):
         self.random = random.Random(seed)
         self.policy = policy
         self.servers = [Server() for _ in range(servers)]
-        self.instances = [Instance(self.servers) for _ in range(instances)]
         self.requests = []
         self.rejected_count = 0
         self.now_ms = 0.0
-        mean_ms = UPLOAD.share * UPLOAD.work_ms + AUDIT.share * AUDIT.work_ms
+        self.kinds = kinds
+        self.accounts = accounts
+        mean_ms = sum(kind.share * kind.work_ms for kind in kinds)
+        self.instances = [Instance(self.servers, mean_ms) for _ in range(instances)]
         self.interval_ms = mean_ms / (demand * SLOTS * servers)
         self._events = []
         self._order = itertools.count()
@@ -210,6 +242,12 @@
             request.is_served for request in self.requests if request.kind is kind
         )
 
+    def account_share(self, account_id):
+        """Return the share of the requests of an account that were served in time."""
+        return statistics.mean(
+            request.is_served for request in self.requests if request.account_id == account_id
+        )
+
     @property
     def value(self):
         """Return the worth of all responses, as a share of the highest possible one."""
@@ -217,9 +255,11 @@
         return sum(request.value for request in self.requests) / best
 
     def _make_request(self, number, arrival_ms):
-        kind = self.random.choices((UPLOAD, AUDIT), (UPLOAD.share, AUDIT.share))[0]
+        kind = self.random.choices(self.kinds, [kind.share for kind in self.kinds])[0]
         work_ms = kind.work_ms * self.random.uniform(0.5, 1.5)
-        account_id = str(self.random.randrange(20))
+        account_id = self.random.choices(list(self.accounts), weights=list(self.accounts.values()))[
+            0
+        ]
         instance = self.random.choice(self.instances)
         request = Request(number, kind, account_id, work_ms, arrival_ms, instance)
         self.requests.append(request)
@@ -229,9 +269,12 @@
         heapq.heappush(self._events, (time_ms, next(self._order), action, argument))
 
     def _arrive(self, request):
-        instance = request.instance
+        instance, kind = request.instance, request.kind
+        instance.use.record_request(kind.urgency, request.account_id, kind.work_ms, self.now_ms)
         head = instance.queue.head()
-        if head is not None and head.urgency <= request.kind.urgency:
+        rank = rank_of(instance, request, self.now_ms)
+        is_blocked = head is not None and head.urgency <= queue_urgency(request, rank)
+        if is_blocked and rank != models.Rank.FIRST:
             self._wait(request, decisions.latest_ms(request.kind.work_ms, request.due_ms))
         else:
             self._decide(request)
@@ -249,6 +292,7 @@
                     self._wait(request, until_ms)
                 return False
             case models.Refuse(_, retry_after_ms):
+                self._record(request, is_sent=False)
                 instance.queue.remove(request.number)
                 self._refuse(request, retry_after_ms)
         instance.waiting.pop(request.number, None)
@@ -257,9 +301,10 @@
     def _wait(self, request, until_ms):
         request.instance.waiting[request.number] = request
         kind = request.kind
+        request.instance.use.mark_short(self.now_ms)
         entry = models.WaitingRequest(
             request.number,
-            kind.urgency,
+            queue_urgency(request, rank_of(request.instance, request, self.now_ms)),
             request.account_id,
             kind.work_ms,
             self.now_ms,
@@ -278,6 +323,8 @@
 
     def _send(self, request, index):
         instance, server = request.instance, self.servers[index]
+        if not request.sends:
+            self._record(request, is_sent=True)
         request.sends += 1
         if server.load >= SLOTS + QUEUE_MAX:
             self.rejected_count += 1
@@ -293,6 +340,12 @@
         else:
             server.waiting.append(request)
 
+    def _record(self, request, *, is_sent):
+        use = request.instance.use
+        if not is_sent:
+            use.mark_short(self.now_ms)
+        use.record_result(request.kind.urgency, self.now_ms, is_sent=is_sent)
+
     def _start(self, request, index):
         self.servers[index].running += 1
         self._at(self.now_ms + request.work_ms, self._end, (request, index))
--- a/tests/gateway/scheduling/test_comparison.py
+++ b/tests/gateway/scheduling/test_comparison.py
@@ -11,6 +11,7 @@
 from tests.gateway.scheduling import shared_service
 
 DURATION_MS = 30_000
+FLOODED = {**{str(number): 1.0 for number in range(19)}, 'flood': 15.0}
 SEEDS = (1, 2)
 POLICIES = {
     'before': shared_service.Policy(),
@@ -73,3 +74,31 @@
     """Guards against waits that cost time while servers are free."""
     both, before = (play(policy, 0.6) for policy in ('both', 'before'))
     assert worth(both) >= worth(before) - 0.01
+
+
+def served_of_others(policy):
+    """Return the served shares of usual accounts and of one at 7.5 times its usual load.
+
+    Lookups at 1.6 times the capacity; the usual accounts alone ask for 0.9 of it.
+    """
+    services = [
+        shared_service.Service(
+            POLICIES[policy], 1.6, seed, kinds=(shared_service.LOOKUP,), accounts=FLOODED
+        )
+        for seed in SEEDS
+    ]
+    for service in services:
+        service.run(DURATION_MS)
+    requests = [request for service in services for request in service.requests]
+    usual = [request.is_served for request in requests if request.account_id != 'flood']
+    flood = [request.is_served for request in requests if request.account_id == 'flood']
+    return statistics.mean(usual), statistics.mean(flood)
+
+
+def test_account_at_many_times_its_load_takes_little_from_others():
+    """Guards against accounts that are refused for the load of another one; max-min shares."""
+    usual, flood = served_of_others('both')
+    usual_before, _ = served_of_others('before')
+    assert usual_before < 0.7
+    assert usual > 0.9
+    assert 0.1 < flood < usual
--- a/tests/gateway/serving/test_waiting.py
+++ b/tests/gateway/serving/test_waiting.py
@@ -134,7 +134,8 @@
     outputs = []
     for _ in range(round(LATEST_MS / 50) + 1):
         shared.upload()
-        shared.state.scheduler.record_result('stock', 2, shared.now_ms, is_sent=False)
+        use = shared.state.scheduler.use_of('stock')
+        use.record_result(2, shared.now_ms, is_sent=False)
         shared.state.servers.views['stock-1'].running = 0
         shared.report(queue)
         outputs.extend(shared.advance(50))
@@ -147,7 +148,7 @@
     shared.audit()
     outputs = []
     for _ in range(round(LATEST_MS / 50) + 1):
-        shared.state.scheduler.record_request('stock', 1, shared.now_ms)
+        shared.state.scheduler.use_of('stock').record_request(1, '', 0, shared.now_ms)
         shared.report(events.LoadReport(3, 9, 3))
         outputs.extend(shared.advance(50))
     refused = conftest.single_effect(outputs, effects.Refuse)
