Write windows again that a restore has lost under the same holder

A holder whose own record came back within its lease went on, although the store had lost the counts of windows that it had sent; its successor would have decided other ones. The holder now reads the windows and writes what is missing before its next call.

--- a/rhubarbspar/gateway/usage/duty.py
+++ b/rhubarbspar/gateway/usage/duty.py
@@ -402,6 +402,8 @@
     if moment.now_ms - duty.renewed_ms >= duty.settings.lease_ms:
         # Another one may have held the duty since, and a restore may have lost its record.
         return _lose(duty, 'lease_ended', moment)
+    # A restore has lost the windows that were written since the copy; they are written again.
+    duty.needs_windows = duty.needs_windows or duty.is_restored
     return []
 
 
@@ -483,6 +485,7 @@
 def _adopt_windows(duty: Duty, windows: tuple[models.WindowCounts, ...]) -> Outputs:
     """Take over the windows that were written; skip those that were lost after they were sent."""
     duty.needs_windows = False
+    duty.backlog.written.clear()
     for window in windows:
         duty.backlog.adopt(window)
     attempted = duty.status.attempted_window
--- a/tests/gateway/usage/test_duty.py
+++ b/tests/gateway/usage/test_duty.py
@@ -295,3 +295,22 @@
     world.frozen = {'b', 'c'}
     world.run(3000)
     assert world.holder_ids() == ['a', 'b']
+
+
+def test_holder_writes_again_what_a_restore_has_lost_before_it_calls(world):
+    """Guards against a successor that finds no counts of a window that its predecessor sent."""
+    record = world.record
+    world.status = 0
+    world.run(6000)
+    attempted = world.calls[-1].window.window_id
+    world.restore(world.record, {})
+    world.run(3000)
+    assert attempted in world.windows
+    for name in ('b', 'c'):
+        world.duties[name] = usage_duty.Duty(name, 'j', usage_backends.SETTINGS)
+    world.duties.pop('a')
+    world.status = 200
+    world.run(15_000)
+    world.check()
+    assert world.holder_ids() == ['a', 'b']
+    assert record.token < world.calls[-1].token
--- a/tests/gateway/usage/test_duty_chaos.py
+++ b/tests/gateway/usage/test_duty_chaos.py
@@ -150,6 +150,15 @@
             for other in hearing:
                 other.note_status(duty.status)
 
+    def hears_fleet(self, name):
+        """Return whether an instance hears at least half of all instances, itself included."""
+        heard = [
+            other
+            for other in self.duties.keys() - self.gossip_cut
+            if self.now_ms >= self.frozen_until_ms.get(other, 0)
+        ]
+        return name in heard and 2 * len(heard) >= len(NAMES)
+
     def step(self, name, rank):
         """Deliver what is due to an instance in either order, and tick it."""
         ready = [due for due in self.dues if due.name == name and due.due_ms <= self.now_ms]
@@ -179,7 +188,7 @@
             count = self.random.randrange(1, 1_000_000)
             counts = (models.AccountCount('workshop', count),)
             usage_duty.decide(duty, models.WindowCounts(window_id, counts))
-        hears_fleet = name not in self.gossip_cut
+        hears_fleet = self.hears_fleet(name)
         standing = usage_duty.Standing(rank, usage_backends.FIRST, hears_fleet=hears_fleet)
         self.carry_out(name, usage_duty.tick(duty, standing, moment))
 
@@ -225,5 +234,6 @@
     chaos.calm_down()
     chaos.run(CALM_MS)
     chaos.check()
+    assert chaos.calls
     ended = usage_backends.SETTINGS.window_at(chaos.moment().unix_ms) - 1
     assert chaos.sent()[-1] >= ended - 1
