Let window writes take turns with renewals at a slow store

The random faults after a restore now end only when the duty was taken again: if all that know of a report are lost together with the record, nothing prevents a second one.

--- a/rhubarbspar/gateway/usage/duty.py
+++ b/rhubarbspar/gateway/usage/duty.py
@@ -180,6 +180,8 @@
         The call to the store under way.
     store_retry_ms
         The next call to the store does not start before.
+    renewed_last
+        Whether the last call to the store was a renewal.
     called_window
         Window of the call to the platform under way; ``NO_WINDOW`` without one.
     next_call_ms
@@ -206,6 +208,7 @@
     needs_windows: bool = False
     store_call: StoreCall | None = None
     store_retry_ms: float = -math.inf
+    renewed_last: bool = False
     called_window: int = models.NO_WINDOW
     next_call_ms: float = -math.inf
     failed_calls: int = 0
@@ -247,6 +250,7 @@
     duty.store_call = None
     if call is None:
         return []
+    duty.renewed_last = isinstance(call.effect, effects.WriteDuty)
     match event, call.effect:
         case events.DutyRead(record, is_restored), _:
             duty.is_restored = is_restored
@@ -325,7 +329,9 @@
     is_due = moment.now_ms - duty.renewed_ms >= duty.settings.lease_ms * RENEW_SHARE
     duty.claimed_alone = duty.claimed_alone and not standing.hears_fleet
     may_renew = standing.rank is not None and (standing.hears_fleet or duty.claimed_alone)
-    if is_due and may_renew:
+    # With a slow store, a renewal is always due; the other calls take turns with it.
+    has_turn = duty.renewed_last and duty.may_act(moment.now_ms) and _has_store_work(duty)
+    if is_due and may_renew and not has_turn:
         return effects.WriteDuty(_renewed(duty, record, moment))
     if not duty.may_act(moment.now_ms):
         return None
@@ -338,6 +344,10 @@
     return effects.WriteWindow(window, record.revision, tuple(deletable[:DELETIONS_MAX]))
 
 
+def _has_store_work(duty: Duty) -> bool:
+    return duty.needs_windows or duty.backlog.next_unwritten() is not None
+
+
 def _claim(duty: Duty, standing: Standing, moment: Moment) -> models.DutyRecord:
     """Return the record by which this instance takes the duty."""
     former = duty.record
--- a/tests/gateway/usage/test_duty.py
+++ b/tests/gateway/usage/test_duty.py
@@ -314,3 +314,18 @@
     world.check()
     assert world.holder_ids() == ['a', 'b']
     assert record.token < world.calls[-1].token
+
+
+def test_windows_are_written_with_a_store_that_is_slower_than_the_renewals(world):
+    """Guards against renewals that take all turns at a slow store."""
+    duty = world.duties['a']
+    window = models.WindowCounts(duty.backlog.next_undecided(), ())
+    usage_duty.decide(duty, window)
+    standing = usage_duty.Standing(0, usage_backends.FIRST)
+    written = []
+    for _ in range(4):
+        outputs = usage_duty.tick(duty, standing, world.moment())
+        written.extend(type(each) for each in outputs)
+        world.now_ms += 800
+        world.carry_out('a', outputs)
+    assert effects.WriteWindow in written
--- a/tests/gateway/usage/test_duty_chaos.py
+++ b/tests/gateway/usage/test_duty_chaos.py
@@ -18,7 +18,7 @@
 NAMES = ('a', 'b', 'c', 'd')
 CHAOS_MS = 150_000
 CALM_MS = 40_000
-# After a restore there is no other fault for this long.
+# After a restore there is no other fault for this long, and until the duty is taken again.
 RESTORE_QUIET_MS = 10_000
 
 
@@ -86,6 +86,10 @@
         name = self.random.choice(NAMES)
         if self.now_ms < self.restored_ms + RESTORE_QUIET_MS:
             return
+        if self.record is not None and self.record.era < self.era:
+            # Until the duty is taken again, only those that run know what was reported.
+            self.store_mode = 'ok'
+            return
         match self.random.randrange(9):
             case 0 if name in self.duties:
                 self.duties.pop(name)
