Let requests make way only at a service that is short of capacity

Cause: with several urgencies, a less urgent request waited whenever the server of its choice had no free slot, and those behind it waited too. The accounts' priorities make nearly every service one of several urgencies.

Change: requests make way only while the estimated requests for each slot of the service are at least as many as its slots.

--- a/rhubarbspar/gateway/routing/placement.py
+++ b/rhubarbspar/gateway/routing/placement.py
@@ -72,6 +72,13 @@
     return _permitted_group(state, pending).by_id.keys()
 
 
+def load_per_slot(
+    state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
+) -> float:
+    """Return the estimated requests for each slot of the servers that may get a request."""
+    return _permitted_group(state, pending).load_summary(now_ms).load_per_slot
+
+
 def turned_away_ms(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> float | None:
--- a/rhubarbspar/gateway/scheduling/decisions.py
+++ b/rhubarbspar/gateway/scheduling/decisions.py
@@ -13,6 +13,9 @@
 
 # An older report says nothing of the present load; requests are then sent as if there were room.
 REPORT_AGE_MAX_MS: typing.Final = 3000
+# Requests for each slot of a service from which on it is short of capacity. Below, a full server only
+# means that the request suits another one less, for example because of what that one has cached.
+SHORT_LOAD_PER_SLOT: typing.Final = 1.0
 # Share of the servers that keep a slot for urgent requests. In the comparison of the design note,
 # fewer made these late, and a slot of every server left audits 0.13 behind all requests.
 KEEPING_SHARE: typing.Final = 0.4
--- a/rhubarbspar/gateway/serving/capacity.py
+++ b/rhubarbspar/gateway/serving/capacity.py
@@ -224,9 +224,14 @@
 def _rank(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> scheduling.Rank:
-    """Return how far a request makes way; one that was sent before does not."""
+    """Return how far a request makes way; one that was sent before does not.
+
+    None does while the servers together have more slots than requests.
+    """
     if pending.send_count:
         return scheduling.Rank.FIRST
+    if placement.load_per_slot(state, pending, now_ms) < decisions.SHORT_LOAD_PER_SLOT:
+        return scheduling.Rank.FIRST
     use = state.scheduler.use_of(pending.service_id)
     return use.rank(_urgency(pending), _account_id(pending), now_ms)
 
