Send operators' records ahead of other changes

Seen by callers: on narrow links a configuration waits behind large entries of backend servers, in the batches of a relay and in its send queues.

Cause: changes are sent in the order of their revisions, in one lane.

Change: a new message, OperatorChanges, carries operators' records in the lane of short messages, compressed and without claiming a revision; the changes follow in their order as before. Records that an instance has read itself because a peer had newer ones go to its children in the same message.

--- a/rhubarbspar/gateway/membership/fleet.py
+++ b/rhubarbspar/gateway/membership/fleet.py
@@ -123,6 +123,11 @@
     forward_failed_ms: float = -math.inf
     live_ms: float = -math.inf
 
+    @property
+    def has_changes_on_the_way(self) -> bool:
+        """Return whether changes were sent of which the peer has not confirmed the arrival."""
+        return self.sent_revision > max(self.store_revision, self.acknowledged_revision)
+
     def record_heartbeat(
         self, heartbeat: messages.Heartbeat, now_ms: float, *, was_live: bool
     ) -> None:
--- a/rhubarbspar/gateway/messages.py
+++ b/rhubarbspar/gateway/messages.py
@@ -205,6 +205,16 @@
     missing: tuple[MissingRecord, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorChanges(GatewayMessage):
+    """Changed records of operators, ahead of the changes before them.
+
+    They do not change up to which store revision the receiver knows all changes.
+    """
+
+    records: tuple[RelayedRecord, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSnapshotPart(GatewayMessage):
     """Part of all records of the store, for a peer whose changes the sender does not all know.
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -14,6 +14,7 @@
 from rhubarbspar.gateway.serving import dispatch
 from rhubarbspar.gateway.serving import forwards
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.store import operator_relay
 from rhubarbspar.gateway.store import store_records
 from rhubarbspar.gateway.store import store_recovery
 from rhubarbspar.gateway.store import store_relay
@@ -132,10 +133,12 @@
             return gossip.receive_heartbeat(state, peer_id, heartbeat, now_ms)
         case core_events.MessageReceived(peer_id, messages.StoreNews() as relayed):
             return store_relay.receive_changes(state, peer_id, relayed, now_ms)
+        case core_events.MessageReceived(peer_id, messages.OperatorChanges() as received):
+            return operator_relay.receive(state, peer_id, received, now_ms)
         case core_events.MessageReceived(peer_id, messages.StoreSnapshotPart() as part):
             return store_relay.receive_snapshot_part(state, peer_id, part, now_ms)
-        case core_events.MessageReceived(peer_id, messages.ChangesReceived() as received):
-            return store_relay.note_acknowledgement(state, peer_id, received, now_ms)
+        case core_events.MessageReceived(peer_id, messages.ChangesReceived() as acknowledged):
+            return store_relay.note_acknowledgement(state, peer_id, acknowledged, now_ms)
         case core_events.MessageReceived(peer_id, messages.CrashSeen() as crash):
             return gossip.note_crash(state, peer_id, crash, now_ms)
         case core_events.PeerConnected(peer_id):
--- a/rhubarbspar/gateway/store/store_recovery.py
+++ b/rhubarbspar/gateway/store/store_recovery.py
@@ -10,8 +10,11 @@
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import missing_records
+from rhubarbspar.gateway.store import operator_relay
+from rhubarbspar.gateway.store import record_kinds
 from rhubarbspar.gateway.store import store_records
 from rhubarbspar.platform import const as platform_const
 
@@ -60,12 +63,17 @@
 
 def _check_operator_records(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
     """Read the records of operators if a peer has had newer ones for too long."""
-    heard = [peer for peer in state.fleet.peers.values() if peer.is_heard(now_ms)]
-    if not heard or not state.replica.revision:
-        return []
-    peer = max(heard, key=operator.attrgetter('operator_revision'))
     check = state.replica.operator_comparison
     own_revision = state.replica.records.operator_revision
+    ahead = [
+        peer
+        for peer in state.fleet.peers.values()
+        if peer.operator_revision > own_revision and peer.is_heard(now_ms)
+    ]
+    if not ahead or not state.replica.revision:
+        check.compare(own_revision, own_revision, now_ms)
+        return []
+    peer = max(ahead, key=operator.attrgetter('operator_revision'))
     check.compare(own_revision, peer.operator_revision, now_ms)
     if not check.is_read_due(now_ms):
         return []
@@ -102,4 +110,19 @@
     outputs: list[core_effects.Effect] = [core_effects.Log('prefix_read', log_fields)]
     if changed:
         outputs.append(core_effects.Count(package_const.METRIC_EVENTS, 'prefix_read_changed'))
+    outputs.extend(_pass_on(state, changed))
     return [*outputs, *store_records.apply_records(state, changed, now_ms)]
+
+
+def _pass_on(
+    state: gateway_state.State, changed: tuple[events.RecordRead, ...]
+) -> list[core_effects.Effect]:
+    """Send the operators' records that were read to the children, which lack them as well."""
+    urgent = [record for record in changed if record_kinds.is_operator_record(record.key)]
+    child_ids = tuple(state.fleet.related_peers(fleet.Relation.CHILD))
+    if not (urgent and child_ids):
+        return []
+    return [
+        core_effects.Multicast(child_ids, message)
+        for message in operator_relay.make_messages(urgent)
+    ]
--- a/rhubarbspar/gateway/store/store_relay.py
+++ b/rhubarbspar/gateway/store/store_relay.py
@@ -14,6 +14,7 @@
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import change_history
+from rhubarbspar.gateway.store import operator_relay
 from rhubarbspar.gateway.store import store_batches
 from rhubarbspar.gateway.store import store_records
 from rhubarbspar.gateway.store import store_replica
@@ -278,9 +279,11 @@
     batches = state.replica.change_batches(base_revision, BATCH_MAX_BYTES)
     if not batches:
         return []
+    changed = [record for batch in batches for record in batch.records]
+    ahead = operator_relay.send_ahead(state, changed, receiver_ids)
     for receiver_id in receiver_ids:
         state.fleet.peers[receiver_id].record_sent_changes(state.replica.revision, now_ms)
-    return [_relay_batch(batch, receiver_ids) for batch in batches]
+    return [*ahead, *(_relay_batch(batch, receiver_ids) for batch in batches)]
 
 
 def _send_snapshot(
@@ -291,6 +294,8 @@
     if not replica.revision:
         return []
     peer_id = peer.member.instance_id
+    existing = replica.records.existing()
+    ahead = operator_relay.send_ahead(state, existing, [peer_id])
     peer.record_sent_changes(replica.revision, now_ms)
     log_fields = (
         ('peer', peer_id),
@@ -298,7 +303,7 @@
         ('complete_from', replica.complete_from),
         ('revision', replica.revision),
     )
-    outputs: list[core_effects.Effect] = [core_effects.Log('snapshot_sent', log_fields)]
+    outputs: list[core_effects.Effect] = [core_effects.Log('snapshot_sent', log_fields), *ahead]
     outputs.extend(
         core_effects.SendMessage(
             peer_id,
@@ -310,7 +315,7 @@
                 tuple(replica.records.missing) if part.is_last else (),
             ),
         )
-        for part in store_batches.split_snapshot(replica.records.existing(), BATCH_MAX_BYTES)
+        for part in store_batches.split_snapshot(existing, BATCH_MAX_BYTES)
     )
     return outputs
 
--- a/rhubarbspar/peers/codec.py
+++ b/rhubarbspar/peers/codec.py
@@ -100,7 +100,7 @@
             )
         except _CONVERSION_ERRORS as error:
             raise errors.MalformedFrameError(f'{name} cannot be encoded') from error
-        if name in const.BULK_TYPES and len(frame) >= const.COMPRESSED_MIN_BYTES:
+        if name in const.COMPRESSED_TYPES and len(frame) >= const.COMPRESSED_MIN_BYTES:
             frame = zlib.compress(frame, zlib.Z_BEST_SPEED)
         _check_size(frame)
         return frame
--- a/rhubarbspar/peers/const.py
+++ b/rhubarbspar/peers/const.py
@@ -12,6 +12,8 @@
 # Messages that are compressed from a size on, and that others overtake: changes of the store are long
 # lists of similar texts, which a relay sends to each of its children.
 BULK_TYPES: typing.Final = frozenset(('StoreNews', 'StoreSnapshotPart'))
+# Operators' records are compressed too, but wait for nothing.
+COMPRESSED_TYPES: typing.Final = BULK_TYPES | {'OperatorChanges'}
 COMPRESSED_MIN_BYTES: typing.Final = 1024
 # Nesting of arrays and maps within a frame.
 NESTING_DEPTH_MAX: typing.Final = 16
