--- a/tests/gateway/process_deployment.py
+++ b/tests/gateway/process_deployment.py
@@ -1,6 +1,7 @@
 """A deployment whose first gateway is a process of its own, and strangers that connect to it."""
 
 import contextlib
+import os
 import pathlib
 import socket
 import subprocess
@@ -25,15 +26,24 @@
     ----------
     process
         Its process.
+    environment
+        Variables that it gets besides those of this process.
     """
 
     descriptors = 120
+    environment: dict[str, str] = {}
     source = _ROOT
 
     def _start(self, _reactor):
         command = (sys.executable, '-c', _CODE, str(self.descriptors), str(self.settings_path))
         with self.settings_path.with_suffix('.log').open('wb') as log:
-            self.process = subprocess.Popen(command, cwd=self.source, stdout=log, stderr=log)
+            self.process = subprocess.Popen(
+                command,
+                cwd=self.source,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, **self.environment},
+            )
         return self
 
     def close(self):
