Bound the bytes that the kernel and unfinished heads hold

Under 280 bodies that stopped one byte short, a gateway with 100 MB used 123 to 131 MB: 31 to 41 MB of it had been received by the kernel and not read. While the process was suspended, the kernel kept 63 MB for 512 connections that waited for their acceptance. Unfinished heads of 2,200 short fields took 131 MB.

Cause: no receive buffer had a size, so the kernel grew them; the accept queues held 512 connections of up to 128 KiB each; a body of more than 64 KiB without a length took a block of 256 KiB that the budget did not count; any number of requests could wait for memory; heads without memory waited with all their fields.

Now a connection has a receive buffer of 16 KiB (32 KiB as the kernel counts; 8 KiB at the ports for readiness, look-ups and metrics), and a larger one of up to 512 KiB for the part of a message whose memory is reserved. The size is set after the connection is accepted: set on the listening socket, it would bound the window to 64 KiB for good, and an upload of 360 KB would take two more round trips. The buffers of all connections fit into a quarter of GATEWAY_MEMORY_MB; the numbers of connections are reduced to that (200 MB and 4,100 descriptors: 563 callers, 563 servers). Accept queues hold 64 to 512 connections, by memory. Requests beyond those that may wait, and large heads without memory, get 503 at once. Blocks of bodies have 64 KiB, which is within the read-ahead that is reserved.

The port for peers keeps the system's size.

--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -68,7 +68,7 @@
     ) -> None:
         """Create all parts without opening a socket."""
         self._budget = initial_state.make_budget(limits.memory_mb)
-        self._limits = initial_state.make_limits(limits.descriptor_count)
+        self._limits = initial_state.make_limits(limits.descriptor_count, limits.memory_mb)
         self._settings = settings
         self._settings_watch = settings_watch.SettingsWatch(settings_path)
         self._reactor = reactor
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -72,9 +72,11 @@
     return memory_limits.make_store_limits(process_budget, content_max_bytes)
 
 
-def make_limits(platform_limit: str) -> descriptor_limits.Limits:
-    """Return the limits of the connections, from the descriptors of the process."""
-    return descriptor_limits.make_limits(platform_limit)
+def make_limits(platform_limit: str, memory_mb: str) -> descriptor_limits.Limits:
+    """Return the limits of the connections, from the descriptors and memory of the process."""
+    return descriptor_limits.make_limits(
+        platform_limit, memory_limits.make_receive_limits(memory_mb)
+    )
 
 
 def make_member(
--- a/rhubarbspar/gateway/limits/descriptor_limits.py
+++ b/rhubarbspar/gateway/limits/descriptor_limits.py
@@ -1,4 +1,4 @@
-"""Division of the file descriptors of the process among its kinds of connections."""
+"""Division of the descriptors and of the receive buffers among the kinds of connections."""
 
 import dataclasses
 import math
@@ -6,7 +6,9 @@
 import types
 import typing
 
+from rhubarbspar.gateway.limits import memory_limits
 from rhubarbspar.http1 import descriptors
+from rhubarbspar.http1 import receive_buffers
 
 # Applies if neither the platform nor the system names a limit.
 _DEFAULT_DESCRIPTORS: typing.Final = 1024
@@ -46,6 +48,19 @@
     }
 )
 _CALLERS_LEAST: typing.Final = 8
+# Ports that callers do not use need only small receive buffers.
+_BUFFER_BYTES: typing.Final = types.MappingProxyType(
+    {
+        'directory': receive_buffers.INTERNAL_BYTES,
+        'metrics': receive_buffers.INTERNAL_BYTES,
+        'readiness': receive_buffers.INTERNAL_BYTES,
+    }
+)
+# The size of the buffers of peers is that of the system: a smaller one would delay the records that
+# they pass on. Only the handshakes, which strangers can begin, are bounded by memory.
+_KERNEL_BYTES: typing.Final = types.MappingProxyType(
+    {'handshakes': receive_buffers.UNACCEPTED_BYTES, 'peers': 0}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +77,8 @@
         Connections to backend servers, and to peers that pass attempts on.
     store
         Connections to the store.
+    queue_length
+        Connections that may wait for their acceptance at each port.
     """
 
     callers: descriptors.ConnectionLimit
@@ -72,14 +89,18 @@
     readiness: descriptors.ConnectionLimit
     servers: descriptors.ConnectionLimit
     store: descriptors.ConnectionLimit
+    queue_length: int
 
     @property
     def parts(self) -> tuple[descriptors.ConnectionLimit, ...]:
-        """Return all limits."""
-        return tuple(getattr(self, field.name) for field in dataclasses.fields(self))
+        """Return all limits of connections."""
+        fields = [getattr(self, field.name) for field in dataclasses.fields(self)]
+        return tuple(field for field in fields if isinstance(field, descriptors.ConnectionLimit))
 
 
-def make_limits(platform_limit: str = '') -> Limits:
+def make_limits(
+    platform_limit: str = '', receiving: memory_limits.ReceiveLimits = memory_limits.UNBOUNDED
+) -> Limits:
     """Return the limits of this process.
 
     Parameters
@@ -87,40 +108,70 @@
     platform_limit
         Descriptors that the platform grants the process. The limit of the system applies if this is
         no positive number or a larger one.
+    receiving
+        What the memory of the process allows.
     """
     system_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     known = [_parse(platform_limit)]
     if system_limit != resource.RLIM_INFINITY:
         known.append(system_limit)
     limit = min(known)
-    return divide(_DEFAULT_DESCRIPTORS if limit == math.inf else int(limit))
+    return divide(_DEFAULT_DESCRIPTORS if limit == math.inf else int(limit), receiving)
 
 
-def divide(descriptor_count: int) -> Limits:
-    """Return the limits of a process that may hold a number of descriptors."""
+def divide(
+    descriptor_count: int, receiving: memory_limits.ReceiveLimits = memory_limits.UNBOUNDED
+) -> Limits:
+    """Return the limits of a process that may hold a number of descriptors and some memory."""
     files = min(_FILES_MAX, max(_FILES_MIN, int(descriptor_count * _FILES_SHARE)))
     sockets = max(0, descriptor_count - files)
 
     sizes = {kind: max(_LEAST[kind], int(sockets * share)) for kind, share in _SHARES.items()}
-    callers = max(_CALLERS_LEAST, sockets - sum(sizes.values()))
+    sizes['callers'] = max(_CALLERS_LEAST, sockets - sum(sizes.values()))
+    sizes = _fit_memory(sizes, receiving.buffers_max_bytes)
     return Limits(
-        callers=_port_limit('callers', callers, evicts_partial=False),
-        directory=_port_limit('directory', sizes['directory']),
-        forwards=_port_limit('forwards', sizes['forwards']),
+        callers=_port_limit('callers', sizes),
+        directory=_port_limit('directory', sizes),
+        forwards=_port_limit('forwards', sizes),
         handshakes=descriptors.ConnectionLimit('handshakes', sizes['handshakes']),
-        metrics=_port_limit('metrics', sizes['metrics']),
-        readiness=_port_limit('readiness', sizes['readiness']),
+        metrics=_port_limit('metrics', sizes),
+        readiness=_port_limit('readiness', sizes),
         servers=descriptors.ConnectionLimit('servers', sizes['servers']),
         store=descriptors.ConnectionLimit('store', sizes['store']),
+        queue_length=receiving.queue_length,
     )
 
 
-def _port_limit(
-    kind: str, limit: int, *, evicts_partial: bool = True
-) -> descriptors.ConnectionLimit:
-    surplus = max(1, int(limit * _SURPLUS_SHARE))
+def _fit_memory(sizes: dict[str, int], buffers_max_bytes: float) -> dict[str, int]:
+    """Return the numbers of connections, reduced so that their receive buffers fit."""
+    needed_bytes = sum(count * _kernel_bytes(kind) for kind, count in sizes.items())
+    if needed_bytes <= buffers_max_bytes:
+        return sizes
+    ratio = buffers_max_bytes / needed_bytes
+    least = {**_LEAST, 'callers': _CALLERS_LEAST}
+    return {kind: max(least[kind], int(count * ratio)) for kind, count in sizes.items()}
+
+
+def _kernel_bytes(kind: str) -> int:
+    """Return what the kernel may keep for a connection of a kind."""
+    known_bytes = _KERNEL_BYTES.get(kind)
+    if known_bytes is None:
+        return receive_buffers.kernel_bytes(_buffer_bytes(kind))
+    return known_bytes
+
+
+def _buffer_bytes(kind: str) -> int:
+    return _BUFFER_BYTES.get(kind, receive_buffers.CALLER_BYTES)
+
+
+def _port_limit(kind: str, sizes: dict[str, int]) -> descriptors.ConnectionLimit:
+    surplus = max(1, int(sizes[kind] * _SURPLUS_SHARE))
     return descriptors.ConnectionLimit(
-        kind, limit - surplus, descriptors.ConnectionLimit(kind, surplus), evicts_partial
+        kind,
+        sizes[kind] - surplus,
+        descriptors.ConnectionLimit(kind, surplus),
+        evicts_partial=kind != 'callers',
+        receive_buffer_bytes=_buffer_bytes(kind),
     )
 
 
--- a/rhubarbspar/gateway/limits/memory_limits.py
+++ b/rhubarbspar/gateway/limits/memory_limits.py
@@ -5,12 +5,19 @@
 import typing
 
 from rhubarbspar.http1 import memory
+from rhubarbspar.http1 import receive_buffers
 
 _BYTES_PER_MB: typing.Final = 1_048_576
 # The smallest instances of the operators have this much; it applies if the platform names none.
 _DEFAULT_PROCESS_MB: typing.Final = 200.0
 # Share of the memory up to which the process plans; the rest covers what is not counted.
 _PLANNED_SHARE: typing.Final = 0.6
+# Share of the memory for bytes that the kernel has received and the process has not read yet.
+_RECEIVE_SHARE: typing.Final = 0.25
+# Share for connections that wait in the accept queue of one port.
+_QUEUE_SHARE: typing.Final = 0.08
+_QUEUE_MIN: typing.Final = 64
+_QUEUE_MAX: typing.Final = 512
 # Memory of a process that has its state and holds no message.
 _IDLE_PROCESS_MB: typing.Final = 56
 _BUDGET_MIN_MB: typing.Final = 16
@@ -47,6 +54,25 @@
     records_max_bytes: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReceiveLimits:
+    """What the kernel may receive before the process reads it.
+
+    Attributes
+    ----------
+    buffers_max_bytes
+        Size of the receive buffers of all connections together.
+    queue_length
+        Connections that may wait for their acceptance at each port.
+    """
+
+    buffers_max_bytes: float
+    queue_length: int
+
+
+UNBOUNDED: typing.Final = ReceiveLimits(math.inf, _QUEUE_MAX)
+
+
 def make_budget(memory_mb: str) -> memory.MemoryBudget:
     """Return the budget of the requests and responses of a process.
 
@@ -64,6 +90,14 @@
     return _parse_mb(memory_mb) * _BYTES_PER_MB
 
 
+def make_receive_limits(memory_mb: str) -> ReceiveLimits:
+    """Return what the kernel may receive for a process, from the same text as ``make_budget``."""
+    memory_bytes = process_bytes(memory_mb)
+    queue_room = memory_bytes * _QUEUE_SHARE / receive_buffers.UNACCEPTED_BYTES
+    queue_length = int(min(_QUEUE_MAX, max(_QUEUE_MIN, queue_room)))
+    return ReceiveLimits(memory_bytes * _RECEIVE_SHARE, queue_length)
+
+
 def make_store_limits(budget: memory.MemoryBudget, content_max_bytes: float) -> StoreLimits:
     """Return what a process with a budget takes from the store.
 
--- a/rhubarbspar/gateway/serving/listeners.py
+++ b/rhubarbspar/gateway/serving/listeners.py
@@ -22,8 +22,6 @@
 from rhubarbspar.platform import directory as platform_directory
 from rhubarbspar.server import metrics
 
-# Length of the queue of connections to be accepted; a full queue delays callers by seconds.
-BACKLOG: typing.Final = 512
 _INTERNAL_BODY_MAX_BYTES: typing.Final = 65_536
 
 _Respond: typing.TypeAlias = abc.Callable[[messages.Request], messages.Response]
@@ -120,7 +118,7 @@
         port = self._ports.get(self._caller_address)
         if port is None:
             return
-        for _ in range(BACKLOG):
+        for _ in range(self._limits.queue_length):
             if not transports.has_waiting_connection(port):
                 break
             port.doRead()
@@ -221,7 +219,7 @@
             return
         host, port = addresses.split_host_port(address)
         listen = self._reactor.listenTCP
-        self._ports[address] = listen(port, site, backlog=BACKLOG, interface=host)
+        self._ports[address] = listen(port, site, backlog=self._limits.queue_length, interface=host)
         if site is not self.caller_site:
             self._sites.append(site)
 
--- a/rhubarbspar/http1/bodies.py
+++ b/rhubarbspar/http1/bodies.py
@@ -8,8 +8,9 @@
 
 # A body up to this size is one string of bytes.
 JOINED_MAX_BYTES: typing.Final = 65_536
-# Blocks of one size fit where others were freed, so that the process does not grow by the gaps.
-_BLOCK_BYTES: typing.Final = 262_144
+# Blocks of one size fit where others were freed, so that the process does not grow by the gaps. The
+# free part of the last block is never more than the read-ahead that is reserved for the body.
+_BLOCK_BYTES: typing.Final = 65_536
 
 
 class BlockBuffer:
--- a/rhubarbspar/http1/client.py
+++ b/rhubarbspar/http1/client.py
@@ -17,6 +17,7 @@
 from rhubarbspar.http1 import errors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
+from rhubarbspar.http1 import receive_buffers
 from rhubarbspar.http1 import transports
 from rhubarbspar.http1 import writing
 
@@ -173,10 +174,14 @@
         self._idle_timeout_ms = pool.idle_max_ms
         self._share = memory.Share(pool.budget)
         self._writer: writing.SliceWriter
+        self._receive_buffer: receive_buffers.ReceiveBuffer
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the first request."""
         transports.set_tcp_options(self.transport)
+        self._receive_buffer = receive_buffers.ReceiveBuffer(
+            self.transport, self._pool.connections.receive_buffer_bytes
+        )
         self._writer = writing.SliceWriter(self.transport, memory.Share(self._pool.budget))
         call = self._call
         if call is None or call.done:
@@ -293,9 +298,17 @@
             # A body that fits exactly is not to wait for the read-ahead behind its end.
             expected_bytes = int(min(len(partial.body) + const.READ_AHEAD_BYTES, body_max_bytes))
         transport: typing.Any = self.transport
-        if not self._share.reserve(expected_bytes, transport.resumeProducing):
+        if self._share.reserve(expected_bytes, self._resume):
+            self._receive_buffer.fit(expected_bytes - len(partial.body))
+        else:
             transport.pauseProducing()
 
+    def _resume(self) -> None:
+        """Read on: the memory for the response is reserved."""
+        self._receive_buffer.fit(self._share.size_bytes - len(self._partial.body))
+        transport: typing.Any = self.transport
+        transport.resumeProducing()
+
     def _give_up(self) -> None:
         """Fail a response of unknown size whose memory others wait for."""
         self._fail(errors.MalformedError('the body has no length and others need the memory'))
@@ -315,6 +328,7 @@
             self._skip(partial)
             return
         self._call = None
+        self._receive_buffer.reset()
         # A server that answers before it has read the whole request may leave the rest unread.
         reusable = self._writer.is_sent and not (self._closed or partial.ends_with_connection)
         if reusable and self._parser.should_keep_alive():
@@ -343,18 +357,13 @@
     def _keep_idle(self, headers: list[messages.Header]) -> None:
         keep_alive = messages.find_header(headers, b'keep-alive')
         if keep_alive is not None:
-            self._apply_keep_alive_timeout(keep_alive)
+            self._idle_timeout_ms = _find_idle_timeout_ms(
+                keep_alive, self._idle_timeout_ms, self._pool.idle_max_ms
+            )
         self.expires_ms = self._pool.clock_ms() + self._idle_timeout_ms
         self._pool.idle.append(self)
         self._pool.connections.mark_idle(self, self._pool.clock_ms())
 
-    def _apply_keep_alive_timeout(self, keep_alive: bytes) -> None:
-        match = _TIMEOUT_PARAMETER.search(keep_alive)
-        if match is None:
-            return
-        announced_ms = int(match.group(1)) * package_const.MS_PER_S - const.KEEP_ALIVE_MARGIN_MS
-        self._idle_timeout_ms = max(0, min(self._pool.idle_max_ms, announced_ms))
-
     def _fail(self, error: errors.HttpError) -> None:
         call = self._call
         self._call = None
@@ -432,6 +441,15 @@
         return self.status >= const.STATUS_OK and self.announced_bytes is None
 
 
+def _find_idle_timeout_ms(keep_alive: bytes, present_ms: float, idle_max_ms: float) -> float:
+    """Return the idle timeout that a server has announced, or the present one."""
+    match = _TIMEOUT_PARAMETER.search(keep_alive)
+    if match is None:
+        return present_ms
+    announced_ms = int(match.group(1)) * package_const.MS_PER_S - const.KEEP_ALIVE_MARGIN_MS
+    return max(0, min(idle_max_ms, announced_ms))
+
+
 def _find_excess(partial: _PartialResponse, body_max_bytes: float) -> errors.MalformedError | None:
     """Return the error of a response that exceeds a limit."""
     if partial.unframed_bytes > const.RESPONSE_HEAD_MAX_BYTES:
--- a/rhubarbspar/http1/const.py
+++ b/rhubarbspar/http1/const.py
@@ -23,6 +23,7 @@
 
 # A body of unknown length is read this far beyond what has arrived.
 READ_AHEAD_BYTES: typing.Final = 65_536
+READ_AHEAD_MAX_BYTES: typing.Final = 262_144
 
 # A caller whose request waits for memory for longer does better to ask another instance.
 MEMORY_WAIT_MAX_MS: typing.Final = 500
--- a/rhubarbspar/http1/descriptors.py
+++ b/rhubarbspar/http1/descriptors.py
@@ -9,6 +9,8 @@
 import math
 import typing
 
+from rhubarbspar.http1 import receive_buffers
+
 
 class Connection(typing.Protocol):
     """A connection that may be closed while it is idle."""
@@ -37,6 +39,8 @@
         Further connections that are opened only to refuse a request; by default there are none.
     evicts_partial
         Whether a connection on which only a part of a request head has come counts as idle.
+    receive_buffer_bytes
+        Receive buffer of each connection, as ``SO_RCVBUF`` says it.
     open_count
         Number of open connections.
     evicted_count, refused_count
@@ -48,6 +52,7 @@
     limit: float = math.inf
     surplus: 'ConnectionLimit | None' = None
     evicts_partial: bool = False
+    receive_buffer_bytes: int = receive_buffers.CALLER_BYTES
     open_count: int = 0
     evicted_count: int = 0
     refused_count: int = 0
--- a/rhubarbspar/http1/memory.py
+++ b/rhubarbspar/http1/memory.py
@@ -17,6 +17,13 @@
 # Larger messages cannot use the part of the budget that is left to small ones.
 SMALL_MAX_BYTES: typing.Final = 131_072
 _LARGE_SHARE: typing.Final = 0.9
+# A message that holds more than this without a reservation is refused while the budget is exceeded: a
+# head of 16 KiB with very short fields takes 500 KB.
+UNRESERVED_MAX_BYTES: typing.Final = 65_536
+# What the kernel may have received of a message that waits: all that came before its connection was
+# accepted. The messages that wait may have an eighth of the budget in this way.
+_WAITING_BYTES: typing.Final = 131_072
+_WAITING_SHARE: typing.Final = 0.125
 # Size of the two objects and the tuple that hold a header in memory, besides its text.
 HEADER_OVERHEAD_BYTES: typing.Final = 170
 
@@ -53,6 +60,15 @@
         """Return whether a connection waits for memory."""
         return bool(self._waiting)
 
+    def is_exceeded_by(self, share: 'Share') -> bool:
+        """Return whether more is held than permitted, and a share is one of the larger ones."""
+        return self.held_bytes > self.limit_bytes and share.size_bytes > UNRESERVED_MAX_BYTES
+
+    @property
+    def is_crowded(self) -> bool:
+        """Return whether so many messages wait that no more should."""
+        return len(self._waiting) * _WAITING_BYTES > self.limit_bytes * _WAITING_SHARE
+
     def part(self, message_max_bytes: int) -> 'MemoryBudget':
         """Return a part of this budget that holds a large message of up to a size."""
         return MemoryBudget(math.ceil(message_max_bytes / _LARGE_SHARE), self)
--- a/rhubarbspar/http1/request_parser.py
+++ b/rhubarbspar/http1/request_parser.py
@@ -52,6 +52,11 @@
         head_bytes = max(self.head_bytes, self.header_bytes) + len(self.target)
         return head_bytes + len(self.body) + self.trailer_bytes
 
+    @property
+    def head_is_large(self) -> bool:
+        """Return whether the headers take much memory, which must not wait for more."""
+        return self.header_bytes > memory.UNRESERVED_MAX_BYTES
+
     @property
     def body_bytes(self) -> int:
         """Return the size of the body, as announced or as far as it has arrived."""
@@ -128,6 +133,9 @@
         self._stopped = True
         self.partial.share.release()
         self.partial.body = bodies.BlockBuffer()
+        # The parser and its receiver refer to each other, which would keep the headers for long.
+        self.partial.headers = []
+        self.partial.target = bytearray()
 
     def make_request(self) -> messages.Request:
         """Return the request as far as it has arrived."""
@@ -154,7 +162,7 @@
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store a header with its name in lower case; drop a trailer (RFC 9110, section 6.5.1)."""
-        if self.partial.head_complete:
+        if self.partial.head_complete or self._stopped:
             return
         self.partial.headers.append((name.lower(), content))
         self.partial.header_bytes += len(name) + len(content) + memory.HEADER_OVERHEAD_BYTES
--- a/rhubarbspar/http1/server.py
+++ b/rhubarbspar/http1/server.py
@@ -16,6 +16,7 @@
 from rhubarbspar.http1 import errors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
+from rhubarbspar.http1 import receive_buffers
 from rhubarbspar.http1 import request_parser
 from rhubarbspar.http1 import transports
 from rhubarbspar.http1 import writing
@@ -208,10 +209,14 @@
         self.closing = False
         self._reading = _Reading()
         self.writer: writing.SliceWriter
+        self._receive_buffer: receive_buffers.ReceiveBuffer
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set the TCP options and register the connection with the site."""
         transports.set_tcp_options(self.transport)
+        self._receive_buffer = receive_buffers.ReceiveBuffer(
+            self.transport, self._site.connections.receive_buffer_bytes
+        )
         share = memory.Share(self._site.budget)
         self.writer = writing.SliceWriter(self.transport, share, self._note_sent)
         self._site.channels.add(self)
@@ -312,12 +317,15 @@
             self._reading.is_ending = True
             self._update_reading()
             return
+        self._receive_buffer.reset()
         exchange = Exchange(self, request, share, keep_alive=self._parser.should_keep_alive())
         self._pending.append(exchange)
         self._has_served = True
         self._update_idle()
         self._update_reading()
         refusal = self._site.refuse_by_head(request, is_surplus=self._is_surplus)
+        if refusal is None and self._site.budget.is_exceeded_by(share):
+            refusal = _OUT_OF_MEMORY
         if refusal is None:
             self._site.handle(exchange)
         else:
@@ -338,7 +346,12 @@
         if refusal is not None:
             self._refuse(refusal)
             return
-        if not partial.share.reserve(_needed_bytes(partial), self._resume):
+        message_max_bytes = self._site.budget.message_max_bytes
+        if partial.share.reserve(_needed_bytes(partial, message_max_bytes), self._resume):
+            self._receive_buffer.fit(partial.share.size_bytes - partial.held_bytes)
+        elif partial.head_is_large or self._site.budget.is_crowded:
+            self._refuse(_OUT_OF_MEMORY)
+        else:
             self._reading.waiting_since_ms = self._site.clock_ms()
             self._update_reading()
 
@@ -346,6 +359,8 @@
         """Read on: the memory for the request is reserved."""
         self._reading.waiting_since_ms = math.inf
         self._last_active_ms = self._site.clock_ms()
+        partial = self._parser.partial
+        self._receive_buffer.fit(partial.share.size_bytes - partial.held_bytes)
         self._update_reading()
 
     def _update_reading(self) -> None:
@@ -385,6 +400,7 @@
         if self._site.on_refusal is not None:
             self._site.on_refusal(refusal.status)
         self._parser.stop()
+        self._receive_buffer.reset()
         self._reading.waiting_since_ms = math.inf
         self._reading.is_ending = True
         share = memory.Share(self._site.budget)
@@ -400,6 +416,7 @@
         # What the client still sends is read and dropped: closing a socket with unread bytes
         # resets it, which can lose the last response.
         self._reading.switch(self.transport, is_paused=False)
+        self._receive_buffer.drain()
         if self.writer.is_sent:
             self._note_sent()
 
@@ -531,9 +548,16 @@
     return None
 
 
-def _needed_bytes(partial: request_parser.PartialRequest) -> int:
-    """Return the memory that a request needs before more of it is read."""
+def _needed_bytes(partial: request_parser.PartialRequest, message_max_bytes: float) -> int:
+    """Return the memory that a request needs before more of it is read.
+
+    A body without a length is read ahead by as much as has arrived, as senders double what they send
+    with each round trip.
+    """
     if partial.announced_bytes is not None:
         return partial.held_bytes - len(partial.body) + partial.announced_bytes
-    read_ahead_bytes = const.READ_AHEAD_BYTES if partial.head_complete else 0
-    return partial.held_bytes + read_ahead_bytes
+    if not partial.head_complete:
+        return partial.held_bytes
+    ahead_bytes = max(const.READ_AHEAD_BYTES, min(len(partial.body), const.READ_AHEAD_MAX_BYTES))
+    ahead_max_bytes = max(const.READ_AHEAD_BYTES, message_max_bytes - partial.held_bytes)
+    return partial.held_bytes + int(min(ahead_bytes, ahead_max_bytes))
--- a/tests/gateway/limits/test_descriptor_limits.py
+++ b/tests/gateway/limits/test_descriptor_limits.py
@@ -5,6 +5,8 @@
 import pytest
 
 from rhubarbspar.gateway.limits import descriptor_limits
+from rhubarbspar.gateway.limits import memory_limits
+from rhubarbspar.http1 import receive_buffers
 
 # Standard streams, event loop, reserve of the reactor and listening sockets.
 OWN_DESCRIPTORS = 20
@@ -24,6 +26,28 @@
     assert limits.servers.limit >= limits.callers.limit >= 0.2 * count
 
 
+def kernel_bytes(part):
+    """Return what the kernel may keep for all connections of a kind."""
+    surplus = 0 if part.surplus is None else part.surplus.limit
+    count = part.limit + surplus
+    return count * receive_buffers.kernel_bytes(part.receive_buffer_bytes)
+
+
+@pytest.mark.parametrize(('memory_mb', 'count'), [(200, 4100), (552, 8192), (300, 6000)])
+def test_receive_buffers_fit_into_the_memory(memory_mb, count):
+    """Guards against connections whose unread bytes are more than the memory of the machine.
+
+    Enough connections are left: an instance serves some ten requests a second, and a connection that
+    is idle gives way to a new one.
+    """
+    limits = descriptor_limits.divide(count, memory_limits.make_receive_limits(str(memory_mb)))
+    handshakes = limits.handshakes.limit * receive_buffers.UNACCEPTED_BYTES
+    others = [part for part in limits.parts if part is not limits.handshakes]
+    assert sum(map(kernel_bytes, others)) + handshakes <= 0.25 * memory_mb * 2**20
+    assert limits.servers.limit >= limits.callers.limit >= 500
+    assert limits.readiness.limit >= 10
+
+
 @pytest.mark.parametrize(
     ('platform', 'system', 'count'),
     [
