--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -138,20 +138,14 @@
     match event:
         case core_events.MessageReceived(peer_id, messages.Heartbeat() as heartbeat):
             return gossip.receive_heartbeat(state, peer_id, heartbeat, now_ms)
-        case core_events.MessageReceived(peer_id, messages.StoreNews() as relayed):
-            return store_relay.receive_changes(state, peer_id, relayed, now_ms)
-        case core_events.MessageReceived(peer_id, messages.OperatorChanges() as received):
-            return operator_relay.receive(state, peer_id, received, now_ms)
-        case core_events.MessageReceived(peer_id, messages.StoreSnapshotPart() as part):
-            return store_relay.receive_snapshot_part(state, peer_id, part, now_ms)
-        case core_events.MessageReceived(peer_id, messages.ChangesReceived() as acknowledged):
-            return store_relay.note_acknowledgement(state, peer_id, acknowledged, now_ms)
         case core_events.MessageReceived(peer_id, messages.CrashSeen() as crash):
             return gossip.note_crash(state, peer_id, crash, now_ms)
         case core_events.MessageReceived(
             peer_id, usage_messages.UsagePart() | usage_messages.UsageStatus() as usage_message
         ):
             return reports.receive(state, peer_id, usage_message, now_ms)
+        case core_events.MessageReceived():
+            return _reduce_relayed(state, event, now_ms)
         case core_events.PeerConnected(peer_id):
             return gossip.note_peer_connected(state, peer_id, now_ms)
         case core_events.PeerDisconnected(peer_id):
@@ -159,6 +153,22 @@
     return []
 
 
+def _reduce_relayed(
+    state: gateway_state.State, event: core_events.MessageReceived, now_ms: float
+) -> list[core_effects.Effect]:
+    """Apply a message about changes of the store."""
+    match event:
+        case core_events.MessageReceived(peer_id, messages.StoreNews() as relayed):
+            return store_relay.receive_changes(state, peer_id, relayed, now_ms)
+        case core_events.MessageReceived(peer_id, messages.OperatorChanges() as received):
+            return operator_relay.receive(state, peer_id, received, now_ms)
+        case core_events.MessageReceived(peer_id, messages.StoreSnapshotPart() as part):
+            return store_relay.receive_snapshot_part(state, peer_id, part, now_ms)
+        case core_events.MessageReceived(peer_id, messages.ChangesReceived() as acknowledged):
+            return store_relay.note_acknowledgement(state, peer_id, acknowledged, now_ms)
+    return []
+
+
 def _tick(
     state: gateway_state.State, ticked: events.ClockTicked, now_ms: float
 ) -> list[core_effects.Effect]:
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -6,7 +6,7 @@
 printed.
 
 A listed test is a strict expected failure: if it passes, the run fails. In a run of the whole suite,
-a listed test that does not exist fails the run as well.
+or of whole files, a listed test of these files that does not exist fails the run as well.
 """
 
 import dataclasses
@@ -151,9 +151,9 @@
 
 @pytest.hookimpl(trylast=True)
 def pytest_sessionfinish(session: pytest.Session) -> None:
-    """Fail a run of the whole suite in which a listed test did not fail."""
+    """Fail a run in which a listed test of the files that it runs did not fail."""
     config = session.config
-    if hasattr(config, 'workerinput') or not _is_whole_suite(config):
+    if hasattr(config, 'workerinput'):
         return
     if _missing(config) and session.exitstatus in {pytest.ExitCode.OK, 0}:
         session.exitstatus = pytest.ExitCode.TESTS_FAILED
@@ -165,20 +165,24 @@
     """Print which known failures were seen, and which listed tests were not."""
     for test in sorted(config.stash[FAILED_IDS]):
         terminalreporter.write_line(f'known failure: {test}')
-    if _is_whole_suite(config):
-        for test in _missing(config):
-            terminalreporter.write_line(f'listed in {FILE_NAME}, but it did not fail: {test}')
-
-
-def _is_whole_suite(config: pytest.Config) -> bool:
-    selected = config.option.keyword or config.option.markexpr or config.option.collectonly
-    return config.args == config.getini('testpaths') and not selected
+    for test in _missing(config):
+        terminalreporter.write_line(f'listed in {FILE_NAME}, but it did not fail: {test}')
 
 
 def _missing(config: pytest.Config) -> list[str]:
-    listed = {entry.test for entry in config.stash[ENTRIES] if entry.is_test}
+    listed = {entry.test for entry in config.stash[ENTRIES] if _is_run(entry, config)}
     return sorted(listed - config.stash[FAILED_IDS])
 
 
+def _is_run(entry: Entry, config: pytest.Config) -> bool:
+    """Return whether a run includes all tests of the file of an entry."""
+    if config.option.keyword or config.option.markexpr or config.option.collectonly:
+        return False
+    file_name, _, _ = entry.test.partition('::')
+    if config.args == config.getini('testpaths'):
+        return entry.is_test and file_name not in (config.option.ignore or ())
+    return file_name in config.args
+
+
 if __name__ == '__main__':
     print('\n'.join(describe(_read(pathlib.Path.cwd()))))
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -62,6 +62,25 @@
     assert 'did not fail: tests/test_sample.py::test_fails' in output
 
 
+def test_listed_tests_of_an_ignored_file_are_left_to_another_run(tmp_path):
+    """Guards against a suite in two runs of which the first misses the tests of the second."""
+    code, output = run_pytest(
+        tmp_path,
+        ENTRY.replace('test_sample', 'test_floods'),
+        'def test_other():\n    pass\n',
+        '--ignore=tests/test_floods.py',
+    )
+    assert code == 0, output
+
+
+def test_listed_test_that_is_absent_fails_the_run_of_its_file(tmp_path):
+    """Guards against a stale entry in a file that only runs by itself."""
+    code, output = run_pytest(
+        tmp_path, ENTRY, 'def test_other():\n    pass\n', 'tests/test_sample.py'
+    )
+    assert code == 1, output
+
+
 def test_failure_that_is_not_listed_fails_the_run(tmp_path):
     """Guards against passing over more tests than the list names."""
     code, output = run_pytest(tmp_path, '', FAILING)
