Read as much of an overfull store as there is room for

Seen by callers: an instance that starts while the store has more records than its memory takes never becomes ready, and one that has to read the store anew stays without changes.

Cause: the first read of all records failed as a whole (TooLargeError) and was repeated.

`read_all`, for reads of a prefix, still raises an error.

Result: the new test reads twice as many large entries as there is room for; all operators' records are there, and what is held and what is named are all keys together.

--- a/rhubarbspar/gateway/events.py
+++ b/rhubarbspar/gateway/events.py
@@ -5,6 +5,7 @@
 import typing
 
 from rhubarbspar.core import events
+from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
 
 # Memory of a record besides its key and content: the objects that hold it and its decoded form.
@@ -143,10 +144,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSnapshot(events.Event):
-    """All records of the store were read; later changes have a newer revision."""
+    """All records of the store were read; later changes have a newer revision.
+
+    Attributes
+    ----------
+    missing
+        Records that were left out for lack of room.
+    """
 
     records: tuple[RecordRead, ...]
     revision: int
+    missing: tuple[messages.MissingRecord, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbspar/gateway/store/record_table.py
+++ b/rhubarbspar/gateway/store/record_table.py
@@ -130,6 +130,18 @@
             heapq.heappush(candidates, taken[kept_key])
         return [self.pop(taken_key) for taken_key in taken if taken_key in evicted_keys]
 
+    def offer(self, record: events.RecordRead) -> None:
+        """Store a record if there is room; note what is left out."""
+        for evicted in self.make_room_for(record):
+            self._leave_out(evicted)
+        if record_kinds.is_evictable(record.key) and not self.has_room_for(record):
+            self._leave_out(record)
+        else:
+            self[record.key] = record
+
+    def _leave_out(self, record: events.RecordRead) -> None:
+        self.missing.add(messages.MissingRecord(record.key, record.revision, record.size_bytes))
+
     def _collect_candidates(self) -> list[Candidate]:
         """Return the heap of candidates; collect them anew if there is none or it is too long."""
         length_max = _CANDIDATES_FACTOR * len(self.data) + _CANDIDATES_MIN
--- a/rhubarbspar/gateway/store/store_relay.py
+++ b/rhubarbspar/gateway/store/store_relay.py
@@ -151,8 +151,8 @@
         return []
     _note_relayed(state, now_ms)
     base_revision = state.replica.revision
-    snapshot = events.StoreSnapshot(tuple(partial.records), part.revision)
-    changed = state.replica.apply_snapshot(snapshot, now_ms, part.missing)
+    snapshot = events.StoreSnapshot(tuple(partial.records), part.revision, part.missing)
+    changed = state.replica.apply_snapshot(snapshot, now_ms)
     log_fields = (
         ('peer', peer_id),
         ('revision', part.revision),
--- a/rhubarbspar/gateway/store/store_replica.py
+++ b/rhubarbspar/gateway/store/store_replica.py
@@ -116,25 +116,17 @@
         return min(self.changed_revision, self.revision)
 
     def apply_snapshot(
-        self,
-        snapshot: events.StoreSnapshot,
-        now_ms: float,
-        missing: abc.Iterable[messages.MissingRecord] = (),
+        self, snapshot: events.StoreSnapshot, now_ms: float
     ) -> tuple[events.RecordRead, ...]:
         """Replace all records by a snapshot; return what changed, tombstones included.
 
         Records of an earlier era that the snapshot lacks are kept until ``lost_removed_ms``. What
         was written and deleted since the known revision is in neither of them.
-
-        Parameters
-        ----------
-        missing
-            Records that the snapshot lacks although they exist.
         """
         known_revision = self.revision
         self.mark_reachable(snapshot.revision, now_ms, now_ms)
         self.changed_revision = max(self.changed_revision, snapshot.revision)
-        self.records.missing = missing_records.MissingRecords(missing)
+        self.records.missing = missing_records.MissingRecords(snapshot.missing)
         current = {record.key for record in snapshot.records}
         deleted = [
             events.RecordRead(known.key, snapshot.revision, None)
--- a/rhubarbspar/gateway/store/store_tasks.py
+++ b/rhubarbspar/gateway/store/store_tasks.py
@@ -188,11 +188,16 @@
     async def _watch(self) -> None:
         """Read a snapshot if none is known, then deliver changes while this instance follows."""
         if not self._revision:
-            snapshot, revision = await self._client.read_all(platform_const.PREFIX_ALL)
-            self._revision = revision
-            log_fields = (('era', self._client.era), ('revision', revision))
-            self._report(core_effects.Log('store_read', (*log_fields, ('records', len(snapshot)))))
-            self._deliver(events.StoreSnapshot(snapshot, revision))
+            snapshot = await self._client.read_fitting(platform_const.PREFIX_ALL)
+            self._revision = snapshot.revision
+            log_fields = (
+                ('era', self._client.era),
+                ('revision', snapshot.revision),
+                ('records', len(snapshot.records)),
+                ('missing', len(snapshot.missing)),
+            )
+            self._report(core_effects.Log('store_read', log_fields))
+            self._deliver(snapshot)
         wait_ms = FIRST_WATCH_WAIT_MS
         while self._following and not self._closed:
             changes, revision = await self._client.watch(
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's key-value store."""
 
 import base64
+import dataclasses
 import json
 import typing
 from collections import abc
@@ -11,6 +12,7 @@
 from rhubarbspar import const as package_const
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway.limits import memory_limits
+from rhubarbspar.gateway.store import record_table
 from rhubarbspar.gateway.store import revisions
 from rhubarbspar.helpers import addresses
 from rhubarbspar.helpers import durations
@@ -35,6 +37,14 @@
 _STALE_ALLOWED: typing.Final = '1'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Page:
+    """Some of the records below a prefix, and the revision to watch from."""
+
+    records: tuple[events.RecordRead, ...]
+    revision: int
+
+
 class Store:
     """Awaitable calls to the store; all raise ``StoreError`` if they fail.
 
@@ -91,24 +101,33 @@
         """
         records: list[events.RecordRead] = []
         size_bytes = 0
-        seen: set[str] = set()
         first_revision: int | None = None
-        after = ''
-        while True:
-            query = {'pathPrefix': prefix, 'after': after} if after else {'pathPrefix': prefix}
-            answer = await self._exchange(b'GET', '/kv-range', query)
-            # Records may change between pages; the watch must start at the first page's revision.
-            first_revision = answer.revision if first_revision is None else first_revision
-            if answer.era != revisions.era_of(first_revision):
-                raise errors.RestoredError('the store was restored between two pages')
-            page = answer.records('items')
-            records.extend(page)
-            size_bytes += sum(record.size_bytes for record in page)
+        async for page in self._pages(prefix):
+            first_revision = page.revision if first_revision is None else first_revision
+            records.extend(page.records)
+            size_bytes += sum(record.size_bytes for record in page.records)
             self._check_size(size_bytes)
-            if not answer.has_more:
-                return tuple(records), first_revision
-            after = _end_of_page(page, seen)
-            seen.add(after)
+        return tuple(records), first_revision or 0
+
+    async def read_fitting(self, prefix: str) -> events.StoreSnapshot:
+        """Return the records below a prefix for which there is room, as ``read_all`` does.
+
+        The snapshot names those that were left out.
+
+        Raises
+        ------
+        errors.MalformedAnswerError
+            If a page repeats the end of an earlier one, or is empty and not the last.
+        """
+        table = record_table.RecordTable(self._limits.records_max_bytes)
+        first_revision: int | None = None
+        async for page in self._pages(prefix):
+            first_revision = page.revision if first_revision is None else first_revision
+            for record in page.records:
+                table.offer(record)
+        return events.StoreSnapshot(
+            tuple(table.existing()), first_revision or 0, tuple(table.missing)
+        )
 
     async def watch(
         self, prefix: str, after: int, wait_ms: int
@@ -198,6 +217,25 @@
         for call in tuple(self._calls):
             call.abort(http_errors.BrokenError('connection to the store was reset'))
 
+    async def _pages(self, prefix: str) -> abc.AsyncIterator['_Page']:
+        """Yield the pages of the records below a prefix, with the revision of the first one."""
+        seen: set[str] = set()
+        first_revision: int | None = None
+        after = ''
+        while True:
+            query = {'pathPrefix': prefix, 'after': after} if after else {'pathPrefix': prefix}
+            answer = await self._exchange(b'GET', '/kv-range', query)
+            # Records may change between pages; the watch must start at the first page's revision.
+            first_revision = answer.revision if first_revision is None else first_revision
+            if answer.era != revisions.era_of(first_revision):
+                raise errors.RestoredError('the store was restored between two pages')
+            page = answer.records('items')
+            yield _Page(page, first_revision)
+            if not answer.has_more:
+                return
+            after = _end_of_page(page, seen)
+            seen.add(after)
+
     async def _exchange(
         self,
         method: bytes,
--- a/tests/gateway/test_replica_claims.py
+++ b/tests/gateway/test_replica_claims.py
@@ -69,8 +69,8 @@
         if sender.revision <= receiver.revision:
             return
         records = tuple(record for record in sender.records.values() if record.content is not None)
-        snapshot = events.StoreSnapshot(records, sender.revision)
-        note_changes(receiver, receiver.apply_snapshot(snapshot, 0, tuple(sender.records.missing)))
+        snapshot = events.StoreSnapshot(records, sender.revision, tuple(sender.records.missing))
+        note_changes(receiver, receiver.apply_snapshot(snapshot, 0))
         return
     batches = sender.change_batches(receiver.revision, BATCH_BYTES)
     for batch in batches[int(lose_first) :]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -168,6 +168,36 @@
     loop.run(scenario())
 
 
+def test_first_read_of_a_store_beyond_the_limit_has_operators_records(
+    loop, kv_store, kv_client, budget
+):
+    """Guards against an instance that never gets a configuration because others fill the store.
+
+    The entries of backend servers come before and after operators' records in the order of keys.
+    """
+    content = bytes(settings.Bounds().store_content_bytes)
+    numbers = range(int(budget.limit_bytes / len(content)))
+    large = {f'{prefix}{number}' for prefix in ('a', 'servers/') for number in numbers}
+    for key in large:
+        kv_store.put(key, content)
+    kept = ('op/config', 'op/evacuate/x', 'status/rollout/y', 'fleet/instances/z')
+    for key in kept:
+        kv_store.put(key, b'{}')
+    kv_store.put('servers/small', b'{}')
+
+    async def scenario():
+        snapshot = await kv_client.read_fitting('')
+        keys = {record.key for record in snapshot.records}
+        assert keys >= {*kept, 'servers/small'}
+        missing = {entry.key for entry in snapshot.missing}
+        assert missing
+        assert not missing & keys
+        assert missing | keys == {*large, *kept, 'servers/small'}
+        assert sum(record.size_bytes for record in snapshot.records) <= budget.limit_bytes / 2
+
+    loop.run(scenario())
+
+
 def test_records_beyond_the_limit_raise(loop, kv_store, kv_client, budget):
     """Guards against pages without end, each of ordinary size, that fill the memory."""
     content = bytes(settings.Bounds().store_content_bytes)
