Serve ordinary callers beside pipelined requests and slow clients

With 120 descriptors, ordinary callers got 503 (five of five) while 30 connections pipelined requests and read no response, while 60 clients sent a request head byte by byte, and while 60 clients sent a body byte by byte.

Cause: all requests of one read were handled at once, up to hundreds for a connection, and took the connections to servers; unfinished heads of callers and unfinished bodies held their connections until a timeout; the eighth of the connections that is kept free only refused requests.

Now a connection has up to 32 requests at work, and one while those of all connections reach half of the limit; the rest is parsed as they are answered. Unfinished heads of callers count as idle from their begin, and bodies after a second in which less than 1 KiB came; such a body gets 408 while others wait for memory.

--- a/rhubarbspar/gateway/limits/descriptor_limits.py
+++ b/rhubarbspar/gateway/limits/descriptor_limits.py
@@ -170,7 +170,7 @@
         kind,
         sizes[kind] - surplus,
         descriptors.ConnectionLimit(kind, surplus),
-        evicts_partial=kind != 'callers',
+        evicts_partial=True,
         receive_buffer_bytes=_buffer_bytes(kind),
     )
 
--- a/rhubarbspar/gateway/limits/memory_limits.py
+++ b/rhubarbspar/gateway/limits/memory_limits.py
@@ -20,7 +20,8 @@
 _QUEUE_MAX: typing.Final = 512
 # Memory of a process that has its state and holds no message.
 _IDLE_PROCESS_MB: typing.Final = 56
-_BUDGET_MIN_MB: typing.Final = 16
+# Three answers of the store fit; a process with 100 MB has little more than this beside its state.
+_BUDGET_MIN_MB: typing.Final = 13
 
 # What the store puts into a page: contents up to this size, and one more record beyond it.
 _PAGE_CONTENT_BYTES: typing.Final = 1_048_576
--- a/rhubarbspar/http1/const.py
+++ b/rhubarbspar/http1/const.py
@@ -5,8 +5,11 @@
 # The kernel closes a connection whose peer has acknowledged no data for this long.
 TCP_USER_TIMEOUT_MS: typing.Final = 8000
 
-# Maximum number of requests of one connection that are handled concurrently.
+# Maximum number of requests of one connection that are handled concurrently, and share of the limit of
+# connections up to which a connection may have more than one. The rest is left to the first requests of
+# connections, as there are as many connections to servers.
 PIPELINE_MAX: typing.Final = 32
+PIPELINE_SHARE: typing.Final = 0.5
 
 # Time for the peer to read the last response and to close the connection.
 LINGER_S: typing.Final = 1.0
@@ -23,6 +26,10 @@
 
 # A body of unknown length is read this far beyond what has arrived.
 READ_AHEAD_BYTES: typing.Final = 65_536
+# A body of which less than this arrives in this time makes no progress: its client gives way to others
+# when connections or memory are short. A link of 5 Mbit/s carries 600 times as much.
+BODY_PROGRESS_MIN_BYTES: typing.Final = 1024
+BODY_PROGRESS_MAX_MS: typing.Final = 1000
 READ_AHEAD_MAX_BYTES: typing.Final = 262_144
 
 # A caller whose request waits for memory for longer does better to ask another instance.
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -7,6 +7,7 @@
 from twisted.python import failure
 
 from rhubarbspar.http1 import const
+from rhubarbspar.http1 import descriptors
 from rhubarbspar.http1 import memory
 from rhubarbspar.http1 import messages
 from tests.http1 import conftest
@@ -58,6 +59,35 @@
     assert served.sent.count(b'HTTP/1.1 200') >= const.PIPELINE_MAX
 
 
+def test_pipelined_requests_begin_as_earlier_ones_are_answered(served):
+    """Guards against hundreds of requests of one connection that are at work at the same time."""
+    count = 200
+    served.receive(b''.join(GET % number for number in range(count)))
+    assert served.transport.producerState == 'paused'
+    answered = 0
+    while answered < len(served.exchanges):
+        assert len(served.exchanges) - answered <= const.PIPELINE_MAX
+        served.exchanges[answered].respond(OK)
+        answered += 1
+    targets = [exchange.request.target for exchange in served.exchanges]
+    assert targets == [b'/%d' % number for number in range(count)]
+    assert served.transport.producerState == 'producing'
+
+
+def test_pipelining_connection_leaves_places_to_others():
+    """Guards against callers that get no server since others have many requests at work."""
+    limit = descriptors.ConnectionLimit('callers', 8)
+    served = conftest.ServedConnection(connections=limit)
+    served.receive(b''.join(GET % number for number in range(20)))
+    assert len(served.exchanges) == 4
+    others = [served.connect()[0] for _ in range(7)]
+    for other in others:
+        other.dataReceived(GET % 1 + GET % 2)
+    assert len(served.exchanges) == 4 + len(others)
+    served.exchanges[4].respond(OK)
+    assert len(served.exchanges) == 5 + len(others)
+
+
 def test_client_that_takes_its_responses_slowly_gets_all_of_them(served):
     """Guards against pipelined requests that are dropped although the client reads on."""
     served.site.handle = lambda exchange: exchange.respond(messages.Response(200, body=bytes(9000)))
