Explain who waits and who is refused; send waiting requests earlier

Operators could not see why a request waited.

Change: the last time leaves twice the usual work. attempt_started names the time waited, capacity_missing the load behind a refusal, a counter what was sent after a wait.

--- a/rhubarbspar/gateway/scheduling/decisions.py
+++ b/rhubarbspar/gateway/scheduling/decisions.py
@@ -21,9 +21,10 @@
 # At the last time to send it, a request of a kind that is starved also joins a queue of this many
 # requests for each slot. Others do not: at 1.5 times the capacity that took 0.06 of all value.
 LAST_QUEUE_PER_SLOT: typing.Final = 1 / 3
-# A request is sent while this many times its expected processing time is left: a place in the queue
-# above costs a third of it at three slots, and times vary.
-LATEST_TIME_FACTOR: typing.Final = 1.5
+# A request is sent while this many times its expected processing time is left, since times vary and
+# reports are old. At 1.5, servers worked on more requests that came late: 0.78 of all requests were
+# served at 1.5 times the capacity, and 0.80 at this factor.
+LATEST_TIME_FACTOR: typing.Final = 2.0
 # A waiting request is examined with each tick.
 LATEST_MARGIN_MS: typing.Final = 100
 # Callers wait for up to this share of their remaining time before they retry.
--- a/rhubarbspar/gateway/serving/capacity.py
+++ b/rhubarbspar/gateway/serving/capacity.py
@@ -161,6 +161,25 @@
     ]
 
 
+def refusal_log(
+    pending: gateway_state.PendingRequest, choice: selection.Choice, now_ms: float
+) -> core_effects.Log:
+    """Return the log line of a refusal, with the load that decided on it."""
+    fields = (
+        ('service', pending.service_id),
+        ('account', _account_id(pending) or None),
+        ('urgency', _urgency(pending)),
+        ('server', choice.view.server.server_id),
+        ('load', round(choice.load, 1)),
+        ('slots', choice.view.slots),
+        ('load_age_ms', responses.age_ms(choice.view.reported_ms, now_ms)),
+        ('expected_ms', round(choice.expected_ms)),
+        ('time_left_ms', round(pending.due_ms - now_ms)),
+        ('waited_ms', round(now_ms - pending.arrived_ms)),
+    )
+    return core_effects.Log('capacity_missing', responses.log_fields(pending.request, fields))
+
+
 def _decide_first(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
--- a/rhubarbspar/gateway/serving/dispatch.py
+++ b/rhubarbspar/gateway/serving/dispatch.py
@@ -103,7 +103,10 @@
         )
     if now_ms >= pending.due_ms:
         return _refuse(state, pending, package_const.REASON_DEADLINE_EXCEEDED)
-    return _try_server(state, pending, now_ms)
+    outputs = _try_server(state, pending, now_ms)
+    if pending.send_count:
+        outputs.append(core_effects.Count(const.METRIC_SCHEDULING, 'sent_after_wait'))
+    return outputs
 
 
 def end_pending(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
@@ -198,7 +201,8 @@
             state.rollouts.restore_credit(pending.service_id, credit)
             return capacity.wait(state, pending, until_ms, choice, now_ms)
         case scheduling.Refuse() as refusal:
-            return _give_up(state, pending, refusal, now_ms)
+            explained = capacity.refusal_log(pending, choice, now_ms)
+            return [explained, *_give_up(state, pending, refusal, now_ms)]
     return _send(state, pending, choice, now_ms)
 
 
--- a/rhubarbspar/gateway/serving/responses.py
+++ b/rhubarbspar/gateway/serving/responses.py
@@ -127,6 +127,7 @@
         ('gain', round(choice.gain, 2)),
         ('place', choice.place.name.lower()),
         ('attempt', pending.send_count),
+        ('waited_ms', round(now_ms - pending.arrived_ms)),
         ('forwarder', None if forwarder is None else forwarder.instance_id),
     )
     return core_effects.Log('attempt_started', log_fields(pending.request, fields))
