Choose no server that misses the deadline if an equal one meets it

Cause: the choice compares costs, which include a random part, so a queue behind which the deadline of the request passes could be chosen beside a server that is in time.

Change: among the servers that are as good by distance, cached object and own requests, those whose expected time lies within the time left are preferred. If there is none, the choice is returned as before; the refusal is the caller's.

--- a/rhubarbspar/gateway/routing/placement.py
+++ b/rhubarbspar/gateway/routing/placement.py
@@ -175,6 +175,7 @@
         gains,
         overload.congestion_price(group.load_summary(now_ms).load_per_slot),
         group.random.random,
+        pending.due_ms - now_ms,
     )
 
 
--- a/rhubarbspar/gateway/routing/selection.py
+++ b/rhubarbspar/gateway/routing/selection.py
@@ -61,6 +61,8 @@
         Cost of a millisecond of processing time, in milliseconds of delay.
     random_fraction
         Returns random numbers from 0 to 1, other ones at each instance.
+    time_left_ms
+        Time until the deadline of the request.
     """
 
     now_ms: float
@@ -72,6 +74,7 @@
     gains: abc.Mapping[str, float]
     congestion_price: float = 0
     random_fraction: abc.Callable[[], float] = no_spread
+    time_left_ms: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,8 +118,9 @@
 ) -> Choice | None:
     """Return the candidate with the lowest cost, or one that is about equal.
 
-    Ejected servers are only considered if every usable candidate is ejected. Returns ``None`` if no
-    candidate may get a request now.
+    Ejected servers are only considered if every usable candidate is ejected, and servers that are
+    expected to miss the deadline only if every equal one is. Returns ``None`` if no candidate may
+    get a request now.
     """
     now_ms = inputs.now_ms
     usable = [view for view in candidates if view.may_send(now_ms) and not view.is_full(now_ms)]
@@ -124,12 +128,16 @@
     # With every server ejected, the one whose ejection ends first is the best guess.
     considered = available or sorted(usable, key=lambda view: view.ejected_until_ms)[:1]
     choices = [_estimate(view, inputs) for view in considered]
-    best = min(choices, key=operator.attrgetter('cost_ms'), default=None)
-    return None if best is None else _spread(choices, best, inputs)
+    if not choices:
+        return None
+    best = min(choices, key=operator.attrgetter('cost_ms'))
+    equals = _equals(choices, best)
+    in_time = [choice for choice in equals if choice.expected_ms <= inputs.time_left_ms]
+    return min(in_time or equals, key=functools.partial(_spread_cost_ms, inputs))
 
 
-def _spread(choices: abc.Sequence[Choice], best: Choice, inputs: SelectionInputs) -> Choice:
-    """Return the best choice, or a random one among those that may be as good.
+def _equals(choices: abc.Sequence[Choice], best: Choice) -> list[Choice]:
+    """Return the best choice and those that may be as good.
 
     Only servers that are as near as the best one, and equally expected to have the object cached,
     are compared: their costs differ by their loads, which are the less known, the older the reports
@@ -137,16 +145,13 @@
     information?", 2000).
     """
     distance_max_ms = best.distance_ms + EQUAL_DISTANCE_MS
-    equals = [
+    return [
         choice
         for choice in choices
         if choice.gain == best.gain
         and choice.distance_ms <= distance_max_ms
         and choice.view.running <= best.view.running
     ]
-    if len(equals) == 1:
-        return best
-    return min(equals, key=functools.partial(_spread_cost_ms, inputs))
 
 
 def _spread_cost_ms(inputs: SelectionInputs, choice: Choice) -> float:
--- a/tests/gateway/routing/selection_model.py
+++ b/tests/gateway/routing/selection_model.py
@@ -28,6 +28,8 @@
 # waits for half an interval on average.
 REPORT_DELAY_MS = 750
 SLOWNESS_INTERVAL_MS = 150
+# The windows of 2 s before this one belong to the start.
+SETTLED_WINDOW = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,6 +116,8 @@
         """Return the largest share of a region's requests that changed region between windows."""
         shifts = [0.0]
         for (region, window), ran in self.ran_in.items():
+            if window < SETTLED_WINDOW:
+                continue
             before = self.ran_in.get((region, window - 1))
             if before is None:
                 continue
--- a/tests/gateway/routing/test_selection.py
+++ b/tests/gateway/routing/test_selection.py
@@ -1,5 +1,7 @@
 """Choice of the backend server for a request among the candidates."""
 
+import itertools
+
 from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway.routing import servers
 from tests.gateway import conftest
@@ -100,3 +102,35 @@
     )
     congested = selection_inputs(gains=gains, congestion_price=4)
     assert selection.choose_server(candidates, congested).view is candidates[1]
+
+
+def test_server_that_cannot_be_in_time_is_not_chosen_if_an_equal_one_can():
+    """Guards against a random choice of a queue behind which the deadline passes."""
+    candidates = views(2)
+    for view, requests in zip(candidates, (32, 26), strict=True):
+        view.other_requests = requests
+        view.reported_ms = -1000
+    fractions = itertools.cycle((0.0, 1.0))
+    early = selection_inputs(random_fraction=fractions.__next__)
+    assert selection.choose_server(candidates, early).expected_ms > 430
+    late = selection_inputs(time_left_ms=430, random_fraction=fractions.__next__)
+    assert selection.choose_server(candidates, late).view is candidates[1]
+
+
+def test_server_is_returned_if_none_can_be_in_time():
+    """Guards against a request without a choice, which is refused as if there were no servers."""
+    candidates = views(2)
+    assert selection.choose_server(candidates, selection_inputs(time_left_ms=1)) is not None
+
+
+def test_far_or_uncached_servers_are_no_equals():
+    """Guards against random choices that cost a round trip between regions or a cached object."""
+    near, far = views(1), views(2, failure_domain='astana-a')[1:]
+    distances = {'almaty-a': 1.0, 'astana-a': 80.0}
+    fractions = iter((1.0, 0.0) * 2)
+    inputs = selection_inputs(
+        round_trip_ms=distances.__getitem__, random_fraction=fractions.__next__
+    )
+    assert selection.choose_server([*near, *far], inputs).view is near[0]
+    cached = selection_inputs(gains={'s0': 0.5}, random_fraction=fractions.__next__)
+    assert selection.choose_server(views(2), cached).gain == 0.5
