--- a/rhubarbspar/gateway/routing/selection.py
+++ b/rhubarbspar/gateway/routing/selection.py
@@ -28,6 +28,8 @@
 # Among equal servers whose reports are old, the cost varies at random by up to this share of the
 # processing time, so that instances with the same reports choose different servers.
 SPREAD_MAX: typing.Final = 1.0
+# Among equal servers, one without an idle connection costs this share of the processing time more.
+CONNECTION_SHARE: typing.Final = 0.2
 # Servers are equally far if the difference of their distances is below this.
 EQUAL_DISTANCE_MS: typing.Final = 5.0
 
@@ -61,6 +63,8 @@
         Cost of a millisecond of processing time, in milliseconds of delay.
     random_fraction
         Returns random numbers from 0 to 1, other ones at each instance.
+    time_left_ms
+        Time until the deadline of the request.
     """
 
     now_ms: float
@@ -72,6 +76,7 @@
     gains: abc.Mapping[str, float]
     congestion_price: float = 0
     random_fraction: abc.Callable[[], float] = no_spread
+    time_left_ms: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,8 +120,9 @@
 ) -> Choice | None:
     """Return the candidate with the lowest cost, or one that is about equal.
 
-    Ejected servers are only considered if every usable candidate is ejected. Returns ``None`` if no
-    candidate may get a request now.
+    Ejected servers are only considered if every usable candidate is ejected, and servers that are
+    expected to miss the deadline only if every equal one is. Returns ``None`` if no candidate may
+    get a request now.
     """
     now_ms = inputs.now_ms
     usable = [view for view in candidates if view.may_send(now_ms) and not view.is_full(now_ms)]
@@ -124,12 +130,16 @@
     # With every server ejected, the one whose ejection ends first is the best guess.
     considered = available or sorted(usable, key=lambda view: view.ejected_until_ms)[:1]
     choices = [estimate(view, inputs) for view in considered]
-    best = min(choices, key=operator.attrgetter('cost_ms'), default=None)
-    return None if best is None else _spread(choices, best, inputs)
+    if not choices:
+        return None
+    best = min(choices, key=operator.attrgetter('cost_ms'))
+    equals = _equals(choices, best)
+    in_time = [choice for choice in equals if choice.expected_ms <= inputs.time_left_ms]
+    return min(in_time or equals, key=functools.partial(_spread_cost_ms, inputs))
 
 
-def _spread(choices: abc.Sequence[Choice], best: Choice, inputs: SelectionInputs) -> Choice:
-    """Return the best choice, or a random one among those that may be as good.
+def _equals(choices: abc.Sequence[Choice], best: Choice) -> list[Choice]:
+    """Return the best choice and those that may be as good.
 
     Only servers that are as near as the best one, and equally expected to have the object cached,
     are compared: their costs differ by their loads, which are the less known, the older the reports
@@ -139,24 +149,27 @@
     information?", 2000).
     """
     distance_max_ms = best.distance_ms + EQUAL_DISTANCE_MS
-    equals = [
+    return [
         choice
         for choice in choices
         if choice.gain == best.gain
         and choice.distance_ms <= distance_max_ms
         and choice.view.running <= best.view.running
     ]
-    if len(equals) == 1:
-        return best
-    return min(equals, key=functools.partial(_spread_cost_ms, inputs))
 
 
 def _spread_cost_ms(inputs: SelectionInputs, choice: Choice) -> float:
-    """Return the cost of a choice plus a random one that grows with the age of its report."""
+    """Return the cost of a choice among equals, for the one with the lowest.
+
+    A random part grows with the age of the load report. A new connection has a price.
+    """
     age_ms = inputs.now_ms - choice.view.reported_ms
     uncertainty = 1 - math.exp(-age_ms / REPORT_AGE_MS)
     spread_ms = SPREAD_MAX * uncertainty * inputs.mean_processing_ms
-    return choice.cost_ms + inputs.random_fraction() * spread_ms
+    cost_ms = choice.cost_ms + inputs.random_fraction() * spread_ms
+    if choice.view.idle.any_open(inputs.now_ms):
+        return cost_ms
+    return cost_ms + CONNECTION_SHARE * inputs.mean_processing_ms
 
 
 def estimate(view: servers.ServerView, inputs: SelectionInputs) -> Choice:
--- a/tests/gateway/routing/test_selection.py
+++ b/tests/gateway/routing/test_selection.py
@@ -1,7 +1,11 @@
 """Choice of the backend server for a request among the candidates."""
 
+import itertools
+
+from rhubarbspar.gateway.routing import idle_connections
 from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway.routing import servers
+from rhubarbspar.gateway.serving import backend_client
 from tests.gateway import conftest
 
 
@@ -100,3 +104,56 @@
     )
     congested = selection_inputs(gains=gains, congestion_price=4)
     assert selection.choose_server(candidates, congested).view is candidates[1]
+
+
+def test_server_that_cannot_be_in_time_is_not_chosen_if_an_equal_one_can():
+    """Guards against a random choice of a queue behind which the deadline passes."""
+    candidates = views(2)
+    for view, requests in zip(candidates, (32, 26), strict=True):
+        view.other_requests = requests
+        view.reported_ms = -1000
+    fractions = itertools.cycle((0.0, 1.0))
+    early = selection_inputs(random_fraction=fractions.__next__)
+    assert selection.choose_server(candidates, early).expected_ms > 430
+    late = selection_inputs(time_left_ms=430, random_fraction=fractions.__next__)
+    assert selection.choose_server(candidates, late).view is candidates[1]
+
+
+def test_server_is_returned_if_none_can_be_in_time():
+    """Guards against a request without a choice, which is refused as if there were no servers."""
+    candidates = views(2)
+    assert selection.choose_server(candidates, selection_inputs(time_left_ms=1)) is not None
+
+
+def test_far_or_uncached_servers_are_no_equals():
+    """Guards against random choices that cost a round trip between regions or a cached object."""
+    near, far = views(1), views(2, failure_domain='astana-a')[1:]
+    distances = {'almaty-a': 1.0, 'astana-a': 80.0}
+    fractions = iter((1.0, 0.0) * 2)
+    inputs = selection_inputs(
+        round_trip_ms=distances.__getitem__, random_fraction=fractions.__next__
+    )
+    assert selection.choose_server([*near, *far], inputs).view is near[0]
+    cached = selection_inputs(gains={'s0': 0.5}, random_fraction=fractions.__next__)
+    assert selection.choose_server(views(2), cached).gain == 0.5
+
+
+def test_server_with_an_idle_connection_is_preferred_among_equals():
+    """Guards against a new connection for each request, where they are expensive."""
+    candidates = views(3)
+    candidates[2].record_sent(0)
+    candidates[2].running = 0
+    candidates[2].idle.record_response(0)
+    assert selection.choose_server(candidates, selection_inputs(now_ms=100)).view is candidates[2]
+    candidates[2].record_sent(100)
+    candidates[2].running = 0
+    assert selection.choose_server(candidates, selection_inputs(now_ms=200)).view is candidates[0]
+
+
+def test_expired_connection_is_not_preferred():
+    """Guards against a preference for connections that the pool has closed by now."""
+    candidates = views(2)
+    candidates[1].idle.record_response(0)
+    later = selection_inputs(now_ms=idle_connections.IDLE_CONNECTION_MS)
+    assert selection.choose_server(candidates, later).view is candidates[0]
+    assert idle_connections.IDLE_CONNECTION_MS < backend_client.IDLE_MAX_MS
--- a/tests/gateway/routing/test_selection_load.py
+++ b/tests/gateway/routing/test_selection_load.py
@@ -69,10 +69,9 @@
     )
 
 
-def least_cost(choices, best, _inputs):
-    """Choose by cost alone."""
-    assert choices
-    return best
+def least_cost(_choices, best):
+    """Leave no other choice than the one of the least cost."""
+    return [best]
 
 
 @pytest.mark.parametrize(('instances', 'server_count'), [(30, 18), (30, 48), (87, 104)])
@@ -81,7 +80,7 @@
 ):
     """Guards against herding: all instances send to one server until it refuses requests."""
     spread = selection_model.run(one_region(instances, server_count, 0.9))
-    monkeypatch.setattr(selection, '_spread', least_cost)
+    monkeypatch.setattr(selection, '_equals', least_cost)
     monkeypatch.setattr(groups.random.Random, 'shuffle', lambda _random, _items: None)
     same = selection_model.run(one_region(instances, server_count, 0.9))
     assert spread.served_share > 0.95
@@ -93,8 +92,17 @@
 def test_spread_costs_little_time_with_a_few_instances(monkeypatch):
     """Guards against random choices where the reports are good enough to choose the best server."""
     spread = outcomes(8, 12, 0.5)
-    monkeypatch.setattr(selection, '_spread', least_cost)
+    monkeypatch.setattr(selection, '_equals', least_cost)
     best = outcomes(8, 12, 0.5)
     mean_ms = operator.attrgetter('mean_ms')
     assert statistics.mean(map(mean_ms, spread)) < 1.05 * statistics.mean(map(mean_ms, best))
     assert all(outcome.served_share > 0.99 for outcome in spread)
+
+
+def test_open_connections_are_reused(monkeypatch):
+    """Guards against new connections for most requests, and against queues to avoid them."""
+    preferred = selection_model.run(one_region(30, 48, 0.7))
+    monkeypatch.setattr(selection, 'CONNECTION_SHARE', 0)
+    ignored = selection_model.run(one_region(30, 48, 0.7))
+    assert preferred.opened < 0.95 * ignored.opened
+    assert preferred.served_share > ignored.served_share - 0.02
