--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -38,8 +38,10 @@
 
 def fill_template(values):
     """Return the settings template with its placeholders replaced; absent values leave nothing."""
+    section = re.compile(r'{{#(\w+)}}(.*?){{/\1}}')
+    text = section.sub(lambda match: match[2] if match[1] in values else '', TEMPLATE.read_text())
     fill = re.compile(r'{{([\w.]+)(?:\|json)?}}')
-    return fill.sub(lambda match: values.get(match[1], ''), TEMPLATE.read_text())
+    return fill.sub(lambda match: values.get(match[1], ''), text)
 
 
 @pytest.fixture
@@ -142,3 +144,39 @@
     assert load(VALUES).has_forward_port
     assert load({**VALUES, 'internalPorts.0': '9464'}).shares_metrics_port
     assert not load(VALUES).shares_metrics_port
+
+
+API = {
+    'address': '10.200.1.9:8390',
+    'ratePerS': 100,
+    'duties': ['usage_report'],
+    'dutyPerS': 40,
+}
+
+
+def test_usage_reports_are_off_unless_the_platform_asks_for_them(load):
+    """Guards against duties in deployments that have none, and bounds that seem to be missing."""
+    loaded = load(VALUES)
+    assert loaded.usage_api is None
+    assert loaded.defaulted_bounds == ()
+    other_duties = json.dumps({**API, 'duties': ['other']})
+    assert load({**VALUES, 'cloudApi': other_duties}).usage_api is None
+
+
+def test_usage_api_and_its_bounds_come_from_the_platform(load):
+    """Guards against a duty with other windows than those of the platform."""
+    bounds = {**BOUNDS, 'reportWindow': '4s', 'usageLate': '9s', 'lease_time': '2500ms'}
+    more = {'usageTolerance': 0.05, 'thawSlack': '300ms', 'fencing': False}
+    values = {**VALUES, 'cloudApi': json.dumps(API), 'bounds': json.dumps({**bounds, **more})}
+    loaded = load(values)
+    assert (loaded.usage_api.address, loaded.usage_api.calls_per_s) == ('10.200.1.9:8390', 40)
+    assert loaded.bounds.report_window == 4000
+    assert loaded.bounds.usage_late == 9000
+    assert loaded.bounds.lease_time == 2500
+
+
+def test_bad_address_of_the_usage_api_is_named(load):
+    """Guards against a duty whose calls can never succeed."""
+    api = {**API, 'address': 'cloud'}
+    with pytest.raises(errors.InvalidFileError, match=r'settings.jsonc:\d+.*usage_api'):
+        load({**VALUES, 'cloudApi': json.dumps(api)})
