--- a/tests/gateway/usage/test_duty.py
+++ b/tests/gateway/usage/test_duty.py
@@ -329,3 +329,16 @@
         world.now_ms += 800
         world.carry_out('a', outputs)
     assert effects.WriteWindow in written
+
+
+@pytest.mark.parametrize(('elapsed_ms', 'is_called'), [(1500, True), (1850, False), (2900, False)])
+def test_holder_stops_long_before_its_lease_ends(world, elapsed_ms, is_called):
+    """Guards against calls that arrive when a successor may already act."""
+    duty = world.duties['a']
+    window = models.WindowCounts(duty.backlog.next_window, ())
+    usage_duty.decide(duty, window)
+    duty.backlog.written.add(window.window_id)
+    world.now_ms = duty.renewed_ms + elapsed_ms
+    standing = usage_duty.Standing(0, usage_backends.FIRST)
+    outputs = usage_duty.tick(duty, standing, world.moment())
+    assert any(isinstance(each, effects.SendReport) for each in outputs) == is_called
