Keep plain places in the template of the settings

Cause: a section in deploy/settings.jsonc fails in renderers that know plain places only; render_settings of review/standins.py ends with KeyError '#cloudApi' on it.

--- a/rhubarbspar/gateway/serving/outcomes.py
+++ b/rhubarbspar/gateway/serving/outcomes.py
@@ -30,6 +30,7 @@
     (events.AttemptResult.ANSWERED, events.AttemptResult.NOT_RUN)
 )
 
+
 def record_result(
     state: gateway_state.State,
     attempt: gateway_state.Attempt,
@@ -57,6 +58,7 @@
     outputs.extend(_record_server_result(state, attempt, ended, now_ms))
     return [core_effects.Count(const.METRIC_ATTEMPTS, ended.result.value), *outputs]
 
+
 def record_timeout(
     state: gateway_state.State,
     pending: gateway_state.PendingRequest,
@@ -80,6 +82,7 @@
     attempt.view.record_failure(now_ms)
     return []
 
+
 def record_silence(
     state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float
 ) -> list[core_effects.Effect]:
@@ -93,6 +96,7 @@
     attempt.view.eject(now_ms)
     return _note_link_failure(state, attempt, now_ms)
 
+
 def _is_link_failure(state: gateway_state.State, attempt: gateway_state.Attempt) -> bool:
     """Return whether an attempt has failed because of the links of this instance.
 
@@ -100,6 +104,7 @@
     """
     return attempt.forwarder is None and state.links.explains(attempt.started_ms)
 
+
 def _note_link_failure(
     state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float
 ) -> list[core_effects.Effect]:
@@ -108,6 +113,7 @@
         return []
     return link_checks.note_failure(state, attempt.view.server.server_id, now_ms)
 
+
 def _record_server_result(
     state: gateway_state.State,
     attempt: gateway_state.Attempt,
@@ -137,6 +143,7 @@
     view.record_failure(now_ms)
     return []
 
+
 def _record_connection_failure(
     state: gateway_state.State,
     attempt: gateway_state.Attempt,
@@ -159,6 +166,7 @@
         outputs.extend(crash_checks.note_broken_attempt(state, attempt, now_ms))
     return outputs + _note_link_failure(state, attempt, now_ms)
 
+
 def _record_reports(
     state: gateway_state.State,
     view: servers.ServerView,
@@ -179,10 +187,12 @@
         state.load_reports.record(view.server.server_id, reported)
     return outputs
 
+
 def _record_success(attempt: gateway_state.Attempt, now_ms: float) -> None:
     attempt.view.record_success(now_ms)
     attempt.view.record_lateness(now_ms - attempt.started_ms, attempt.expected_ms)
 
+
 def _record_processing_time(
     state: gateway_state.State, attempt: gateway_state.Attempt, now_ms: float
 ) -> None:
@@ -202,6 +212,7 @@
     attempt.view.record_slowdown(processing_ms / max(1.0, typical.uncached_ms * (1 - attempt.gain)))
     typical.record(processing_ms, attempt.place, attempt.gain)
 
+
 def _has_queue(load: events.LoadReport | None) -> bool:
     """Return whether requests are queued at a server.
 
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -28,8 +28,6 @@
 _KB_PER_MB = 1024
 _NS_PER_S = 1_000_000_000
 _WAITED_MIN_S = 0.05
-# Rendered only if the deployment has the value.
-_SECTION = re.compile(r'{{#(\w+)}}(.*?){{/\1}}')
 _PLACEHOLDER = re.compile(r'{{([\w.]+)(\|json)?}}')
 # Those that a gateway knows.
 BOUNDS = {
@@ -308,5 +306,4 @@
             found = found[int(name)] if isinstance(found, list) else found[name]
         return json.dumps(found) if match[2] or isinstance(found, dict) else str(found)
 
-    present = _SECTION.sub(lambda match: match[2] if match[1] in values else '', text)
-    return _PLACEHOLDER.sub(replace, present)
+    return _PLACEHOLDER.sub(replace, text)
