Leave scheduling off unless the settings enable it

Change: the setting 'scheduling' enables it, off by default; without it nothing is counted and nothing waits.

--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -13,6 +13,7 @@
 from rhubarbspar.gateway.rollouts import rollout_schedule
 from rhubarbspar.gateway.rollouts import rollouts
 from rhubarbspar.gateway.routing import selection
+from rhubarbspar.gateway.scheduling import scheduler as request_scheduler
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import record_table
@@ -47,6 +48,7 @@
             records=record_table.RecordTable(store_limits.records_max_bytes)
         ),
         rollouts=rollouts.Rollouts(exposure=exposure_limits(settings)),
+        scheduler=request_scheduler.Scheduler(is_enabled=settings.scheduling),
         usage=_usage(settings, member),
     )
 
--- a/rhubarbspar/gateway/scheduling/scheduler.py
+++ b/rhubarbspar/gateway/scheduling/scheduler.py
@@ -62,6 +62,8 @@
 
     Attributes
     ----------
+    is_enabled
+        Whether requests wait for capacity at all.
     uses
         What uses each service.
     keys
@@ -70,6 +72,7 @@
         Whether no further request may wait because of the memory of the process.
     """
 
+    is_enabled: bool = False
     queues: dict[groups.GroupKey, _GroupQueue] = dataclasses.field(default_factory=dict)
     uses: dict[str, service_use.ServiceUse] = dataclasses.field(default_factory=dict)
     keys: dict[int, groups.GroupKey] = dataclasses.field(default_factory=dict)
--- a/rhubarbspar/gateway/serving/capacity.py
+++ b/rhubarbspar/gateway/serving/capacity.py
@@ -19,6 +19,8 @@
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> None:
     """Note the urgency and the account of a request at its service."""
+    if not state.scheduler.is_enabled:
+        return
     work_ms = processing_times.of_route(state, pending.route).mean_ms
     use = state.scheduler.use_of(pending.service_id)
     use.record_request(_urgency(pending), _account_id(pending), work_ms, now_ms)
@@ -28,7 +30,7 @@
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> None:
     """Note that a request is sent to a server; it waits no longer."""
-    if pending.send_count:
+    if pending.send_count or not state.scheduler.is_enabled:
         return
     use = state.scheduler.use_of(pending.service_id)
     use.record_result(_urgency(pending), now_ms, is_sent=True)
@@ -39,6 +41,8 @@
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> None:
     """Note that a request is refused for lack of capacity."""
+    if not state.scheduler.is_enabled:
+        return
     use = state.scheduler.use_of(pending.service_id)
     use.mark_short(now_ms)
     if not pending.send_count:
@@ -247,7 +251,7 @@
 
     None does while the servers together have more slots than requests.
     """
-    if pending.send_count:
+    if pending.send_count or not state.scheduler.is_enabled:
         return scheduling.Rank.FIRST
     if placement.load_per_slot(state, pending, now_ms) < decisions.SHORT_LOAD_PER_SLOT:
         return scheduling.Rank.FIRST
--- a/rhubarbspar/gateway/settings.py
+++ b/rhubarbspar/gateway/settings.py
@@ -28,6 +28,7 @@
 CONF_READINESS_ADDRESS: typing.Final = 'readiness_address'
 CONF_REGION: typing.Final = 'region'
 CONF_REGIONS: typing.Final = 'regions'
+CONF_SCHEDULING: typing.Final = 'scheduling'
 CONF_STORE_ADDRESS: typing.Final = 'store_address'
 CONF_USAGE_API: typing.Final = 'usage_api'
 
@@ -89,6 +90,9 @@
         Region of each failure domain.
     store_address
         ``host:port`` of the platform's key-value store.
+    scheduling
+        Whether less urgent requests wait, or are refused first, at a service that is short of
+        capacity.
     usage_api
         Where the usage of client accounts is reported; ``None`` if it is not.
     defaulted_bounds
@@ -107,6 +111,7 @@
     readiness_address: str
     store_address: str
     bounds: Bounds = Bounds()
+    scheduling: bool = False
     usage_api: usage.Api | None = None
     defaulted_bounds: tuple[str, ...] = ()
     log_level: str = DEFAULT_LOG_LEVEL
@@ -201,6 +206,7 @@
         voluptuous.Required(CONF_READINESS_ADDRESS): validators.address,
         voluptuous.Required(CONF_REGION): validators.identifier,
         voluptuous.Required(CONF_REGIONS): {validators.identifier: validators.identifier},
+        voluptuous.Optional(CONF_SCHEDULING): bool,
         voluptuous.Required(CONF_STORE_ADDRESS): validators.address,
         voluptuous.Optional(CONF_USAGE_API): usage.decode_api,
     }
--- a/tests/gateway/serving/test_waiting.py
+++ b/tests/gateway/serving/test_waiting.py
@@ -41,7 +41,12 @@
 
 
 class Shared(conftest.Gateway):
-    """A gateway with one server, which uploads and audits share."""
+    """A gateway with one server, which uploads and audits share, and scheduling."""
+
+    def __init__(self):
+        """Enable scheduling."""
+        super().__init__()
+        self.state.scheduler.is_enabled = True
 
     def report(self, load):
         """Record a load report of the server."""
@@ -281,3 +286,10 @@
     before = rollout.candidate_credit
     shared.run_full(1000)
     assert rollout.candidate_credit == before
+
+
+def test_nothing_waits_unless_the_settings_enable_scheduling(shared):
+    """Guards against requests that wait in a deployment that does not ask for it."""
+    shared.state.scheduler.is_enabled = False
+    conftest.single_effect(shared.audit(), effects.StartAttempt)
+    assert not shared.state.scheduler.keys
