Sort the imports of the moved modules

Cause: the move of the modules left imports of packages between those of their parent. Change: imports are sorted by module and name, as elsewhere. No other line changes.

--- a/rhubarbspar/bench/__main__.py
+++ b/rhubarbspar/bench/__main__.py
@@ -12,8 +12,8 @@
 from rhubarbspar.bench import entry
 from rhubarbspar.bench import fault_classes
 from rhubarbspar.bench import gateway
-from rhubarbspar.bench import measures
 from rhubarbspar.bench import home_failure
+from rhubarbspar.bench import measures
 from rhubarbspar.bench import models
 from rhubarbspar.bench import policy
 from rhubarbspar.bench import report
--- a/rhubarbspar/bench/gateway.py
+++ b/rhubarbspar/bench/gateway.py
@@ -11,13 +11,13 @@
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway.limits import budget
-from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models as gateway_models
 from rhubarbspar.gateway import reducer
-from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.limits import budget
+from rhubarbspar.gateway.membership import fleet
+from rhubarbspar.gateway.routing import selection
 from rhubarbspar.peers import codec
 from rhubarbspar.peers import registry
 
--- a/rhubarbspar/gateway/daemon.py
+++ b/rhubarbspar/gateway/daemon.py
@@ -11,24 +11,24 @@
 from twisted.internet import defer
 
 from rhubarbspar import const as package_const
+from rhubarbspar import exceptions
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.core import events as core_events
-from rhubarbspar import exceptions
 from rhubarbspar.gateway import driver as effect_driver
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import initial_state
 from rhubarbspar.gateway import instance_limits
 from rhubarbspar.gateway import log_stream
 from rhubarbspar.gateway import process_usage
-from rhubarbspar.gateway.serving import backend_client
-from rhubarbspar.gateway.serving import caller_requests
-from rhubarbspar.gateway.serving import listeners
 from rhubarbspar.gateway import settings as gateway_settings
 from rhubarbspar.gateway import settings_wait
 from rhubarbspar.gateway import settings_watch
 from rhubarbspar.gateway import state as gateway_state
-from rhubarbspar.gateway.store import store_tasks
 from rhubarbspar.gateway import supervision
+from rhubarbspar.gateway.serving import backend_client
+from rhubarbspar.gateway.serving import caller_requests
+from rhubarbspar.gateway.serving import listeners
+from rhubarbspar.gateway.store import store_tasks
 from rhubarbspar.gateway.usage import tasks as usage_tasks
 from rhubarbspar.helpers import logs
 from rhubarbspar.peers import transport as peer_transport
--- a/rhubarbspar/gateway/driver.py
+++ b/rhubarbspar/gateway/driver.py
@@ -17,10 +17,10 @@
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import log_stream
 from rhubarbspar.gateway import reducer
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.serving import backend_client
 from rhubarbspar.gateway.serving import caller_requests
 from rhubarbspar.gateway.serving import peer_forwards
-from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import store_tasks
 from rhubarbspar.gateway.usage import effects as usage_effects
 from rhubarbspar.gateway.usage import tasks as usage_tasks
--- a/rhubarbspar/gateway/initial_state.py
+++ b/rhubarbspar/gateway/initial_state.py
@@ -4,18 +4,18 @@
 import typing
 
 from rhubarbspar.gateway import instance_limits
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import models
+from rhubarbspar.gateway import settings as gateway_settings
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.limits import budget
 from rhubarbspar.gateway.limits import descriptor_limits
 from rhubarbspar.gateway.limits import memory_limits
 from rhubarbspar.gateway.membership import fleet
-from rhubarbspar.gateway import messages
-from rhubarbspar.gateway import models
 from rhubarbspar.gateway.rollouts import rollout_schedule
 from rhubarbspar.gateway.rollouts import rollouts
 from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway.scheduling import scheduler as request_scheduler
-from rhubarbspar.gateway import settings as gateway_settings
-from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import record_table
 from rhubarbspar.gateway.store import store_replica
 from rhubarbspar.gateway.usage import messages as usage_messages
--- a/rhubarbspar/gateway/lifecycle.py
+++ b/rhubarbspar/gateway/lifecycle.py
@@ -8,9 +8,9 @@
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.membership import gossip
 from rhubarbspar.gateway.serving import dispatch
-from rhubarbspar.gateway import state as gateway_state
 
 
 def request_stop(state: gateway_state.State, now_ms: float) -> list[core_effects.Effect]:
--- a/rhubarbspar/gateway/limits/quotas.py
+++ b/rhubarbspar/gateway/limits/quotas.py
@@ -17,10 +17,10 @@
 from collections import abc
 
 from rhubarbspar import const as package_const
-from rhubarbspar.gateway.limits import buckets
-from rhubarbspar.gateway.limits import fleet_size
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway.limits import buckets
+from rhubarbspar.gateway.limits import fleet_size
 
 # Every instance may use this many times an equal part of the burst, up to ``GUARANTEED_SHARE_MAX``
 # of the burst, even if its share of the demand is smaller.
--- a/rhubarbspar/gateway/limits/server_limits.py
+++ b/rhubarbspar/gateway/limits/server_limits.py
@@ -9,11 +9,11 @@
 import typing
 
 from rhubarbspar.core import effects as core_effects
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.limits import rate_shares
 from rhubarbspar.gateway.membership import fleet
-from rhubarbspar.gateway import messages
 from rhubarbspar.gateway.routing import servers
-from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.helpers import rendezvous
 
 # Positions in the order of the holders are updated after this time.
--- a/rhubarbspar/gateway/membership/fleet.py
+++ b/rhubarbspar/gateway/membership/fleet.py
@@ -10,9 +10,9 @@
 import typing
 
 from rhubarbspar.gateway import const
-from rhubarbspar.gateway.limits import fleet_size
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway.limits import fleet_size
 from rhubarbspar.helpers import rendezvous
 
 # Instances that watch the store in a fleet of one region.
--- a/rhubarbspar/gateway/membership/gossip.py
+++ b/rhubarbspar/gateway/membership/gossip.py
@@ -11,18 +11,18 @@
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import models
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.limits import quotas
 from rhubarbspar.gateway.limits import server_limits
 from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway.membership import multicast
 from rhubarbspar.gateway.membership import topology
-from rhubarbspar.gateway import messages
-from rhubarbspar.gateway import models
 from rhubarbspar.gateway.rollouts import rollouts
 from rhubarbspar.gateway.rollouts import version_exchange
 from rhubarbspar.gateway.routing import crashes
 from rhubarbspar.gateway.routing import load_reports
-from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import store_recovery
 from rhubarbspar.gateway.store import store_relay
 
--- a/rhubarbspar/gateway/membership/multicast.py
+++ b/rhubarbspar/gateway/membership/multicast.py
@@ -3,9 +3,9 @@
 import itertools
 
 from rhubarbspar.core import effects as core_effects
-from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.membership import fleet
 
 
 def spread(
--- a/rhubarbspar/gateway/reducer.py
+++ b/rhubarbspar/gateway/reducer.py
@@ -6,15 +6,15 @@
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import lifecycle
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.limits import server_limits
 from rhubarbspar.gateway.membership import gossip
-from rhubarbspar.gateway import messages
 from rhubarbspar.gateway.routing import crash_checks
 from rhubarbspar.gateway.routing import link_checks
 from rhubarbspar.gateway.serving import dispatch
 from rhubarbspar.gateway.serving import forwards
 from rhubarbspar.gateway.serving import waiting
-from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.store import operator_relay
 from rhubarbspar.gateway.store import store_records
 from rhubarbspar.gateway.store import store_recovery
--- a/rhubarbspar/gateway/rollouts/version_exchange.py
+++ b/rhubarbspar/gateway/rollouts/version_exchange.py
@@ -3,9 +3,9 @@
 Pattern: cumulative counters by origin. In a tree, a relay reports the sums of itself and its children.
 """
 
-from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.membership import fleet
 
 
 def apply_report(
--- a/rhubarbspar/gateway/rollouts/version_results.py
+++ b/rhubarbspar/gateway/rollouts/version_results.py
@@ -9,9 +9,9 @@
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.routing import processing_times
 from rhubarbspar.gateway.routing import selection
-from rhubarbspar.gateway import state as gateway_state
 
 # An attempt is late once it has taken the usual time and this many more processing times.
 LATE_EXTRA_FACTOR: typing.Final = 2.5
--- a/rhubarbspar/gateway/routing/crash_checks.py
+++ b/rhubarbspar/gateway/routing/crash_checks.py
@@ -8,12 +8,12 @@
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway.membership import multicast
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.membership import multicast
 from rhubarbspar.gateway.routing import crashes
 from rhubarbspar.gateway.serving import admission
-from rhubarbspar.gateway import state as gateway_state
 
 
 def note_broken_attempt(
--- a/rhubarbspar/gateway/routing/link_checks.py
+++ b/rhubarbspar/gateway/routing/link_checks.py
@@ -10,10 +10,10 @@
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.membership import gossip
 from rhubarbspar.gateway.routing import server_links
 from rhubarbspar.gateway.routing import servers
-from rhubarbspar.gateway import state as gateway_state
 
 # A server is taken to be alive for this long after it has answered another instance.
 HEARD_ELSEWHERE_MS: typing.Final = 3000
--- a/rhubarbspar/gateway/routing/placement.py
+++ b/rhubarbspar/gateway/routing/placement.py
@@ -8,13 +8,13 @@
 import typing
 from collections import abc
 
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.routing import affinity
 from rhubarbspar.gateway.routing import groups
 from rhubarbspar.gateway.routing import overload
 from rhubarbspar.gateway.routing import processing_times
 from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway.routing import servers
-from rhubarbspar.gateway import state as gateway_state
 
 # A queue that has made a request miss its deadline is expected to stand for this long.
 DEADLINE_MISSED_RECENT_MS: typing.Final = 2000
--- a/rhubarbspar/gateway/routing/processing_times.py
+++ b/rhubarbspar/gateway/routing/processing_times.py
@@ -3,8 +3,8 @@
 import typing
 
 from rhubarbspar.gateway import models
-from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.routing import selection
 
 # Processing time of a route before any response, as a multiple of its latency objective.
 DEFAULT_PROCESSING_FACTOR: typing.Final = 1.2
--- a/rhubarbspar/gateway/routing/server_notices.py
+++ b/rhubarbspar/gateway/routing/server_notices.py
@@ -6,8 +6,8 @@
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway.routing import servers
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.routing import servers
 
 
 def record(
--- a/rhubarbspar/gateway/routing/servers.py
+++ b/rhubarbspar/gateway/routing/servers.py
@@ -9,8 +9,8 @@
 import typing
 
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway.limits import rate_shares
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway.limits import rate_shares
 from rhubarbspar.gateway.routing import idle_connections
 from rhubarbspar.gateway.routing import overload as server_overload
 
--- a/rhubarbspar/gateway/serving/capacity.py
+++ b/rhubarbspar/gateway/serving/capacity.py
@@ -3,6 +3,7 @@
 from rhubarbspar import const as package_const
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.routing import groups
 from rhubarbspar.gateway.routing import placement
 from rhubarbspar.gateway.routing import processing_times
@@ -12,7 +13,6 @@
 from rhubarbspar.gateway.scheduling import scheduler
 from rhubarbspar.gateway.serving import admission
 from rhubarbspar.gateway.serving import responses
-from rhubarbspar.gateway import state as gateway_state
 
 
 def record_request(
--- a/rhubarbspar/gateway/serving/dispatch.py
+++ b/rhubarbspar/gateway/serving/dispatch.py
@@ -10,8 +10,9 @@
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway.limits import server_limits
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.limits import server_limits
 from rhubarbspar.gateway.rollouts import version_results
 from rhubarbspar.gateway.routing import placement
 from rhubarbspar.gateway.routing import selection
@@ -22,7 +23,6 @@
 from rhubarbspar.gateway.serving import outcomes
 from rhubarbspar.gateway.serving import responses
 from rhubarbspar.gateway.serving import retries
-from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.usage import reports
 
 # Results of attempts that neither the server nor the way to it has failed.
--- a/rhubarbspar/gateway/serving/forwarders.py
+++ b/rhubarbspar/gateway/serving/forwarders.py
@@ -6,9 +6,9 @@
 
 import typing
 
-from rhubarbspar.gateway.membership import fleet as gateway_fleet
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.membership import fleet as gateway_fleet
 
 # A peer that has failed to pass an attempt on is not used for this long.
 FAILED_PEER_MS: typing.Final = 1000
--- a/rhubarbspar/gateway/serving/forwards.py
+++ b/rhubarbspar/gateway/serving/forwards.py
@@ -9,9 +9,9 @@
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.routing import link_checks
 from rhubarbspar.gateway.routing import server_notices
-from rhubarbspar.gateway import state as gateway_state
 
 
 def receive(
--- a/rhubarbspar/gateway/serving/listeners.py
+++ b/rhubarbspar/gateway/serving/listeners.py
@@ -6,16 +6,16 @@
 from collections import abc
 
 from rhubarbspar.gateway import const
+from rhubarbspar.gateway import models
+from rhubarbspar.gateway import settings as gateway_settings
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.explain import codec
 from rhubarbspar.gateway.explain import errors
 from rhubarbspar.gateway.explain import explanation
 from rhubarbspar.gateway.limits import descriptor_limits
-from rhubarbspar.gateway import models
 from rhubarbspar.gateway.serving import directory
 from rhubarbspar.gateway.serving import forward_protocol
 from rhubarbspar.gateway.serving import peer_forwards
-from rhubarbspar.gateway import settings as gateway_settings
-from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.helpers import addresses
 from rhubarbspar.http1 import descriptors
 from rhubarbspar.http1 import memory
--- a/rhubarbspar/gateway/serving/outcomes.py
+++ b/rhubarbspar/gateway/serving/outcomes.py
@@ -5,6 +5,7 @@
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.limits import server_limits
 from rhubarbspar.gateway.rollouts import version_results
 from rhubarbspar.gateway.routing import crash_checks
@@ -13,7 +14,6 @@
 from rhubarbspar.gateway.routing import processing_times
 from rhubarbspar.gateway.routing import server_notices
 from rhubarbspar.gateway.routing import servers
-from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.usage import reports
 
 # Results of a connection that could not be opened or has failed.
--- a/rhubarbspar/gateway/serving/responses.py
+++ b/rhubarbspar/gateway/serving/responses.py
@@ -9,10 +9,10 @@
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.routing import processing_times
 from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway.serving import admission
-from rhubarbspar.gateway import state as gateway_state
 
 # Share of the processing time after which a full server is expected to have a free slot.
 RETRY_AFTER_SHARE: typing.Final = 0.5
--- a/rhubarbspar/gateway/serving/retries.py
+++ b/rhubarbspar/gateway/serving/retries.py
@@ -3,10 +3,10 @@
 import typing
 
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.routing import processing_times
 from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway.serving import admission
-from rhubarbspar.gateway import state as gateway_state
 
 # Servers to which one request may be sent, including those that did not run it. ``attempts_max`` of
 # a route only limits the attempts that may have run.
--- a/rhubarbspar/gateway/serving/waiting.py
+++ b/rhubarbspar/gateway/serving/waiting.py
@@ -4,9 +4,9 @@
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import const
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.routing import groups
 from rhubarbspar.gateway.serving import dispatch
-from rhubarbspar.gateway import state as gateway_state
 
 # Requests that leave a queue at one event. All instances learn of a free server at about the same
 # time, so each of them only takes a small part of what seems free.
--- a/rhubarbspar/gateway/state.py
+++ b/rhubarbspar/gateway/state.py
@@ -7,11 +7,11 @@
 
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import messages
+from rhubarbspar.gateway import models
 from rhubarbspar.gateway.limits import budget as retry_budget
 from rhubarbspar.gateway.limits import quotas as account_quotas
 from rhubarbspar.gateway.membership import fleet as gateway_fleet
-from rhubarbspar.gateway import messages
-from rhubarbspar.gateway import models
 from rhubarbspar.gateway.rollouts import rollouts as rollout_state
 from rhubarbspar.gateway.rollouts import version_evidence
 from rhubarbspar.gateway.routing import affinity
--- a/rhubarbspar/gateway/store/operator_relay.py
+++ b/rhubarbspar/gateway/store/operator_relay.py
@@ -9,9 +9,9 @@
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway.membership import multicast
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.membership import multicast
 from rhubarbspar.gateway.store import record_kinds
 from rhubarbspar.gateway.store import store_batches
 from rhubarbspar.gateway.store import store_records
--- a/rhubarbspar/gateway/store/store_records.py
+++ b/rhubarbspar/gateway/store/store_records.py
@@ -4,15 +4,15 @@
 import typing
 
 from rhubarbspar import const as package_const
-from rhubarbspar.core import effects as core_effects
 from rhubarbspar import exceptions
+from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway.limits import server_limits
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.limits import server_limits
 from rhubarbspar.gateway.routing import crash_checks
 from rhubarbspar.gateway.routing import servers
-from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.helpers import rendezvous
 
 # Cold period of a service that declares none.
--- a/rhubarbspar/gateway/store/store_recovery.py
+++ b/rhubarbspar/gateway/store/store_recovery.py
@@ -10,8 +10,8 @@
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway.store import missing_records
 from rhubarbspar.gateway.store import operator_relay
 from rhubarbspar.gateway.store import record_kinds
--- a/rhubarbspar/gateway/store/store_relay.py
+++ b/rhubarbspar/gateway/store/store_relay.py
@@ -10,9 +10,9 @@
 from rhubarbspar.gateway import const
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway.store import change_history
 from rhubarbspar.gateway.store import operator_relay
 from rhubarbspar.gateway.store import store_batches
--- a/rhubarbspar/gateway/usage/reports.py
+++ b/rhubarbspar/gateway/usage/reports.py
@@ -10,10 +10,10 @@
 
 from rhubarbspar.core import effects as core_effects
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway.membership import multicast
 from rhubarbspar.gateway.rollouts import version_results
-from rhubarbspar.gateway import state as gateway_state
 from rhubarbspar.gateway.usage import counting
 from rhubarbspar.gateway.usage import duty as usage_duty
 from rhubarbspar.gateway.usage import events as usage_events
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -9,12 +9,12 @@
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway.limits import budget
-from rhubarbspar.gateway.membership import fleet
 from rhubarbspar.gateway import models
 from rhubarbspar.gateway import reducer
-from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway import state as gateway_state
+from rhubarbspar.gateway.limits import budget
+from rhubarbspar.gateway.membership import fleet
+from rhubarbspar.gateway.routing import selection
 
 REGIONS = {'almaty-a': 'almaty', 'almaty-b': 'almaty', 'astana-a': 'astana'}
 READS = models.Route(
--- a/tests/gateway/fleet_network.py
+++ b/tests/gateway/fleet_network.py
@@ -9,9 +9,9 @@
 from rhubarbspar.core import events as core_events
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
-from rhubarbspar.gateway.membership import fleet as gateway_fleet
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway.membership import fleet as gateway_fleet
 from rhubarbspar.gateway.store import revisions
 from tests.gateway import conftest
 from tests.gateway import links
--- a/tests/gateway/limits/test_fleet_size.py
+++ b/tests/gateway/limits/test_fleet_size.py
@@ -4,10 +4,10 @@
 
 from rhubarbspar.gateway import effects
 from rhubarbspar.gateway import events
+from rhubarbspar.gateway import models
 from rhubarbspar.gateway.limits import budget
 from rhubarbspar.gateway.limits import fleet_size
 from rhubarbspar.gateway.limits import quotas
-from rhubarbspar.gateway import models
 from tests.gateway import conftest
 
 INSTANCES = 69
--- a/tests/gateway/limits/test_quotas.py
+++ b/tests/gateway/limits/test_quotas.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from rhubarbspar.gateway.limits import quotas
 from rhubarbspar.gateway import messages
 from rhubarbspar.gateway import models
+from rhubarbspar.gateway.limits import quotas
 
 RATE_PER_S = 100.0
 ACCOUNT = models.ClientAccount('large', ('key',), None, RATE_PER_S, RATE_PER_S)
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from rhubarbspar.gateway.limits import memory_limits
 from rhubarbspar.gateway import settings
+from rhubarbspar.gateway.limits import memory_limits
 from rhubarbspar.platform import store as platform_store
 from tests.platform import standin
 
