--- a/rhubarbspar/gateway/scheduling/decisions.py
+++ b/rhubarbspar/gateway/scheduling/decisions.py
@@ -43,7 +43,7 @@
     *,
     is_starved: bool = False,
 ) -> models.Decision:
-    """Decide about a request that makes way for others of its service.
+    """Decide about a request that yields to others of its service.
 
     Parameters
     ----------
@@ -70,7 +70,7 @@
 
 
 def kept_slots(server_id: str, slots: int) -> int:
-    """Return the slots of a server that requests which make way leave free.
+    """Return the slots of a server that requests which yield leave free.
 
     The servers that keep one are the same for every instance, so that the slots are kept however
     many instances look for one.
--- a/rhubarbspar/gateway/scheduling/models.py
+++ b/rhubarbspar/gateway/scheduling/models.py
@@ -6,7 +6,7 @@
 
 
 class Rank(enum.IntEnum):
-    """How far a request makes way for the others of its service.
+    """How far a request yields to the others of its service.
 
     Attributes
     ----------
@@ -38,7 +38,7 @@
     processing_ms
         Expected round trip and processing time.
     kept_slots
-        Slots that requests which make way leave free.
+        Slots that requests which yield leave free.
     """
 
     load: float
--- a/rhubarbspar/gateway/scheduling/service_use.py
+++ b/rhubarbspar/gateway/scheduling/service_use.py
@@ -21,7 +21,7 @@
 # A service is short for this long after a request waited or was refused for lack of capacity.
 SHORT_MS: typing.Final = 5000
 # An account is far above its share if it asks for this many times as much, and as the mean of all
-# accounts: of accounts that ask for the same, none makes way for the others.
+# accounts: of accounts that ask for the same, none yields to the others.
 OVER_SHARE_FACTOR: typing.Final = 1.5
 # With fewer requests in the window, the demand of an account may be large by chance.
 OVER_SHARE_REQUESTS_MIN: typing.Final = 6.0
@@ -127,7 +127,7 @@
         return min(present, default=None)
 
     def rank(self, urgency: int, account_id: str, now_ms: float) -> models.Rank:
-        """Return how far a request makes way for the others of the service."""
+        """Return how far a request yields to the others of the service."""
         if now_ms < self.short_until_ms and self._is_over_share(account_id, now_ms):
             return models.Rank.OVER_SHARE
         if len(self.seen_ms) < 2:
--- a/rhubarbspar/gateway/serving/capacity.py
+++ b/rhubarbspar/gateway/serving/capacity.py
@@ -93,7 +93,7 @@
 ) -> scheduling.Wait | scheduling.Refuse:
     """Decide about a request that no server may get now.
 
-    One that makes way waits if that is because servers are full, which passes.
+    One that yields waits if that is because servers are full, which passes.
     """
     refusal = _refuse(state, pending, package_const.REASON_NO_SERVER, now_ms)
     turned_away_ms = placement.turned_away_ms(state, pending, now_ms)
@@ -190,7 +190,7 @@
     choice: selection.Choice,
     now_ms: float,
 ) -> scheduling.Decision:
-    """Decide about a request that makes way for none; one that waits already may wait on."""
+    """Decide about a request that yields to none; one that waits already may wait on."""
     if not placement.is_overloaded(pending, choice, now_ms):
         return scheduling.Send()
     until_ms = decisions.latest_ms(choice.expected_ms - choice.wait_ms, pending.due_ms)
@@ -247,7 +247,7 @@
 def _rank(
     state: gateway_state.State, pending: gateway_state.PendingRequest, now_ms: float
 ) -> scheduling.Rank:
-    """Return how far a request makes way; one that was sent before does not.
+    """Return how far a request yields; one that was sent before does not.
 
     None does while the servers together have more slots than requests.
     """
--- a/tests/gateway/scheduling/shared_service.py
+++ b/tests/gateway/scheduling/shared_service.py
@@ -149,10 +149,10 @@
 
 
 class Both(Policy):
-    """The gateway: requests that make way wait in the instance for a server with a free slot."""
+    """The gateway: requests that yield wait in the instance for a server with a free slot."""
 
     def decide(self, instance, request, index, now_ms):
-        """Decide by the load about a request that makes way, and about others as before."""
+        """Decide by the load about a request that yields, and about others as before."""
         rank = rank_of(instance, request, now_ms)
         if rank == models.Rank.FIRST:
             return super().decide(instance, request, index, now_ms)
@@ -164,7 +164,7 @@
 
 
 def rank_of(instance, request, now_ms):
-    """Return how far a request makes way."""
+    """Return how far a request yields."""
     return instance.use.rank(request.kind.urgency, request.account_id, now_ms)
 
 
--- a/tests/gateway/scheduling/test_decisions.py
+++ b/tests/gateway/scheduling/test_decisions.py
@@ -1,4 +1,4 @@
-"""Whether a request that makes way is sent, waits, or is refused."""
+"""Whether a request that yields is sent, waits, or is refused."""
 
 import dataclasses
 import math
--- a/tests/gateway/scheduling/test_service_use.py
+++ b/tests/gateway/scheduling/test_service_use.py
@@ -60,7 +60,7 @@
 
 
 def test_account_with_few_requests_is_not_above_its_share(use):
-    """Guards against an account that makes way for a few requests that came together by chance."""
+    """Guards against an account that yields to a few requests that came together by chance."""
     use.mark_short(0)
     for number in range(5):
         use.record_request(0, 'pair', WORK_MS, number)
@@ -79,7 +79,7 @@
 
 
 def test_shortage_ends(use):
-    """Guards against an account that makes way for the rest of the day."""
+    """Guards against an account that yields to the rest of the day."""
     use.mark_short(0)
     now_ms = flood(use, 2) + service_use.SHORT_MS
     assert use.rank(0, 'large', now_ms) == FIRST
