Read the revision of a write from the store's answer to it

Cause: the answer to a transaction has 'revision', not 'at'. The stand-in of the store added 'at' to every answer, so that no test showed it.

Change: transact reads 'revision'; the stand-in's answer has only that.

Result: with the stricter stand-in five tests of test_usage_daemon.py failed; all 134 tests of it and of tests/platform pass with the change.

--- a/rhubarbspar/platform/answers.py
+++ b/rhubarbspar/platform/answers.py
@@ -39,6 +39,11 @@
         """Return the revision of the store at the answer."""
         return revisions.combine(self.era, _require_number(self.document, 'at'))
 
+    @property
+    def written_revision(self) -> int:
+        """Return the revision of the write that the answer confirms."""
+        return revisions.combine(self.era, _require_number(self.document, 'revision'))
+
     def lease(self) -> int:
         """Return the id of a lease."""
         return _require_integer(self.document, 'lease')
--- a/rhubarbspar/platform/store.py
+++ b/rhubarbspar/platform/store.py
@@ -248,7 +248,7 @@
             raise
         if era and answer.era != era:
             raise errors.RestoredError('the store was restored since the last call')
-        return answer.revision
+        return answer.written_revision
 
     async def grant_lease(self, ttl_ms: float) -> int:
         """Create a lease and return its id."""
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -158,7 +158,9 @@
             self._write([*puts, *deletes])
         except errors.StoreCallError:
             return _status(404)
-        return self._json({'revision': self.database.revision})
+        # This answer names the revision of the write, and not that of the store.
+        content = json.dumps({'revision': self.database.revision}).encode()
+        return messages.Response(200, (), content)
 
     def _answer_watch(self, watch):
         is_unknown = watch.after > self.database.revision
