--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -243,6 +243,8 @@
             },
             'provider': {'address': f'{proxy.HOST}:{self.store_link.port}'},
             'bounds': BOUNDS,
+            # The soak has no API for duties.
+            'cloudApi': None,
         }
 
 
