Use one function for the urgency of a request

Cause: the explanation and the scheduler had the same function each.

Change: the explanation uses that of the scheduler.

--- a/rhubarbspar/gateway/explain/explanation.py
+++ b/rhubarbspar/gateway/explain/explanation.py
@@ -20,6 +20,7 @@
 from rhubarbspar.gateway.routing import placement
 from rhubarbspar.gateway.routing import selection
 from rhubarbspar.gateway.serving import admission
+from rhubarbspar.gateway.serving import capacity
 from rhubarbspar.gateway.serving import dispatch
 from rhubarbspar.gateway.serving import responses
 
@@ -52,7 +53,7 @@
         store_age_ms=responses.age_ms(state.replica.last_contact_ms, now_ms),
         route_id='' if route is None else route.route_id,
         service_id='' if pending is None else pending.service_id,
-        priority=None if pending is None else _priority(pending),
+        priority=None if pending is None else capacity.urgency_of(pending),
         server_id='' if started is None else started.server.server_id,
         waits=started is None and refused is None,
         refusal=_describe_refusal(refused),
@@ -129,13 +130,6 @@
     return gateway_state.PendingRequest(request, route, account, service_id, now_ms, due_ms)
 
 
-def _priority(pending: gateway_state.PendingRequest) -> int:
-    account = pending.account
-    if account is None or account.priority is None:
-        return pending.route.priority
-    return account.priority
-
-
 def _describe_refusal(refused: effects.Refuse | None) -> models.Refusal | None:
     if refused is None:
         return None
--- a/rhubarbspar/gateway/serving/capacity.py
+++ b/rhubarbspar/gateway/serving/capacity.py
@@ -23,7 +23,7 @@
         return
     work_ms = processing_times.of_route(state, pending.route).mean_ms
     use = state.scheduler.use_of(pending.service_id)
-    use.record_request(_urgency(pending), _account_id(pending), work_ms, now_ms)
+    use.record_request(urgency_of(pending), _account_id(pending), work_ms, now_ms)
 
 
 def record_sent(
@@ -33,7 +33,7 @@
     if pending.send_count or not state.scheduler.is_enabled:
         return
     use = state.scheduler.use_of(pending.service_id)
-    use.record_result(_urgency(pending), now_ms, is_sent=True)
+    use.record_result(urgency_of(pending), now_ms, is_sent=True)
     state.scheduler.record_sent(pending.request.request_number, now_ms)
 
 
@@ -46,7 +46,7 @@
     use = state.scheduler.use_of(pending.service_id)
     use.mark_short(now_ms)
     if not pending.send_count:
-        use.record_result(_urgency(pending), now_ms, is_sent=False)
+        use.record_result(urgency_of(pending), now_ms, is_sent=False)
 
 
 def decide_unplaced(
@@ -79,7 +79,7 @@
     if rank == scheduling.Rank.FIRST:
         return _decide_first(state, pending, choice, now_ms)
     use = state.scheduler.use_of(pending.service_id)
-    is_starved = rank == scheduling.Rank.LESS_URGENT and use.is_starved(_urgency(pending), now_ms)
+    is_starved = rank == scheduling.Rank.LESS_URGENT and use.is_starved(urgency_of(pending), now_ms)
     decision = decisions.decide(
         _candidate(choice, now_ms), rank, pending.due_ms, now_ms, is_starved=is_starved
     )
@@ -147,7 +147,7 @@
         ('service', pending.service_id),
         ('account', waiting.account_id or None),
         ('reason', reason),
-        ('urgency', _urgency(pending)),
+        ('urgency', urgency_of(pending)),
         ('first_urgency', use.most_urgent(now_ms)),
         ('server', None if choice is None else choice.view.server.server_id),
         ('load', None if choice is None else round(choice.load, 1)),
@@ -172,7 +172,7 @@
     fields = (
         ('service', pending.service_id),
         ('account', _account_id(pending) or None),
-        ('urgency', _urgency(pending)),
+        ('urgency', urgency_of(pending)),
         ('server', choice.view.server.server_id),
         ('load', round(choice.load, 1)),
         ('slots', choice.view.slots),
@@ -256,10 +256,10 @@
     if placement.load_per_slot(state, pending, now_ms) < decisions.SHORT_LOAD_PER_SLOT:
         return scheduling.Rank.FIRST
     use = state.scheduler.use_of(pending.service_id)
-    return use.rank(_urgency(pending), _account_id(pending), now_ms)
+    return use.rank(urgency_of(pending), _account_id(pending), now_ms)
 
 
-def _urgency(pending: gateway_state.PendingRequest) -> int:
+def urgency_of(pending: gateway_state.PendingRequest) -> int:
     """Return the urgency of a request; the account's priority takes precedence."""
     account = pending.account
     if account is None or account.priority is None:
@@ -270,8 +270,8 @@
 def _queue_urgency(pending: gateway_state.PendingRequest, rank: scheduling.Rank) -> int:
     """Return the urgency in the queue, where accounts far above their share come last."""
     if rank == scheduling.Rank.OVER_SHARE:
-        return scheduler.OVER_SHARE_URGENCY + _urgency(pending)
-    return _urgency(pending)
+        return scheduler.OVER_SHARE_URGENCY + urgency_of(pending)
+    return urgency_of(pending)
 
 
 def _account_id(pending: gateway_state.PendingRequest) -> str:
