--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -81,6 +81,15 @@
     assert code == 1, output
 
 
+@pytest.mark.parametrize('text', ['def test_fails():\n    pass\n', FAILING])
+def test_flaky_test_may_pass_or_fail(tmp_path, text):
+    """Guards against a run that fails because a test which fails now and then has passed."""
+    listed = ENTRY.replace('seen: 7', 'seen: flaky, 7')
+    code, output = run_pytest(tmp_path, listed, text)
+    assert code == 0, output
+    assert 'flaky, 7 of 5 requests' in output
+
+
 def test_failure_that_is_not_listed_fails_the_run(tmp_path):
     """Guards against passing over more tests than the list names."""
     code, output = run_pytest(tmp_path, '', FAILING)
