--- a/review/common2/standins.py
+++ b/review/common2/standins.py
@@ -8,6 +8,7 @@
 import base64
 import itertools
 import json
+import logging
 import os
 import pathlib
 import random
@@ -635,16 +636,25 @@
 def run_case(case_file, play):
     """Play a case and exit: 0 if the rule held, 1 if it was broken, 2 if it couldn't run."""
 
+    def report(loop, context):
+        # Tasks that are still open when the case ends are cancelled.
+        if not isinstance(context.get('exception'), asyncio.CancelledError):
+            loop.default_exception_handler(context)
+
     async def main():
+        logging.getLogger('asyncio').setLevel(logging.ERROR)
+        asyncio.get_running_loop().set_exception_handler(report)
         world = World(case_file)
         try:
             return await asyncio.wait_for(play(world), 110)
         finally:
             world.close()
 
+    # Ends the processes of the case as its end does.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         status = asyncio.run(main())
-    except Exception as error:  # noqa: BLE001
+    except (Exception, SystemExit) as error:  # noqa: BLE001
         print(f'the case could not run: {type(error).__name__}: {error}')
         status = NOT_RUN
     sys.exit(status)
